fleet: groups, closings and plain targets in the log; loads complete survivors first

Cause: a new leader forgot open groups and closings, so callers got no targets for seconds after a restart; loads of 16 s were spent on new groups while survivors lacked one VM.

--- a/src/domain/consensus/election.rs
+++ b/src/domain/consensus/election.rs
@@ -67,7 +67,8 @@
         // A voter that heard a leader within the shortest election time grants nothing,
         // so the lease of that leader stays true. The start of the process counts as
         // hearing one, since the voter does not remember.
-        let in_lease = now < self.heard + self.timing.election();
+        // A voter that never took part in a term cannot have served a leader.
+        let in_lease = self.hard.term > 0 && now < self.heard + self.timing.election();
         let leads = self.role == Role::Leader && self.holds_lease(now);
         if !transfer && (in_lease || leads) && term > self.hard.term {
             return;
--- a/src/domain/consensus/node.rs
+++ b/src/domain/consensus/node.rs
@@ -273,7 +273,13 @@
         let election = self.timing.election_ms;
         let salt = format!("{}/{}/{}", self.id, self.hard.term, now.as_millis());
         let spread = xxhash_rust::xxh3::xxh3_64_with_seed(salt.as_bytes(), self.seed) % election.max(1);
-        self.deadline = now + Duration::from_millis(election + spread);
+        // No leader can be disturbed before the first term, so the first election waits little.
+        let wait = if self.hard.term == 0 {
+            spread / 2
+        } else {
+            election + spread
+        };
+        self.deadline = now + Duration::from_millis(wait);
     }
 
     fn deliver(&mut self, out: &mut Vec<Action>) {
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -30,6 +30,8 @@
 
 /// Applied records between snapshots; a record may hold a whole catalog.
 const SNAPSHOT_EVERY: u64 = 96;
+/// Time for which a gateway's word on a target counts.
+pub(super) const REPORT_FRESH: Duration = Duration::from_millis(1_500);
 /// Time without a report after which a gateway no longer counts.
 const GATEWAY_LOST: Duration = Duration::from_secs(20);
 
@@ -84,6 +86,12 @@
     Note(Note),
 }
 
+/// Order to load weights onto a spare's host.
+pub(super) struct Staging {
+    pub(super) model: String,
+    pub(super) since: Duration,
+}
+
 pub(super) struct Gateway {
     pub(super) report: Report,
     pub(super) heard: Duration,
@@ -105,6 +113,8 @@
     pub(super) state: State,
     pub(super) registry: Registry,
     pub(super) progress: BTreeMap<u64, Progress>,
+    /// Spares that were ordered to load weights.
+    pub(super) staging: BTreeMap<String, Staging>,
     pub(super) gateways: BTreeMap<String, Gateway>,
     /// Identity that last asked to join from each address.
     pub(super) asked: BTreeMap<String, String>,
@@ -120,6 +130,8 @@
     pub(super) pending: VecDeque<u64>,
     parked: Vec<Parked>,
     retiring: bool,
+    /// Whether a command was applied since the targets were renewed.
+    targets_dirty: bool,
 }
 
 impl Core {
@@ -140,6 +152,7 @@
             state,
             registry: Registry::default(),
             progress: BTreeMap::new(),
+            staging: BTreeMap::new(),
             gateways: BTreeMap::new(),
             asked: BTreeMap::new(),
             leading_since: None,
@@ -151,6 +164,7 @@
             pending: VecDeque::new(),
             parked: Vec::new(),
             retiring: false,
+            targets_dirty: false,
         }
     }
 
@@ -168,6 +182,10 @@
             Event::Call { ticket, call } => self.call(now, ticket, call, &mut out),
             Event::Retire => self.retiring = true,
         }
+        if self.targets_dirty && self.leads(now) {
+            self.targets_dirty = false;
+            self.renew_targets(now);
+        }
         self.answer_parked(now, &mut out);
         out
     }
@@ -246,6 +264,7 @@
             }
             Call::Announce(announcement) => {
                 let id = announcement.id.clone();
+                let is_draining = announcement.draining;
                 if self.registry.hear(now, *announcement) {
                     if let Some(group) = self.state.group_of(&id)
                         && let Some(progress) = self.progress.get_mut(&group.epoch)
@@ -254,17 +273,29 @@
                     }
                     self.place(now, out);
                 }
-                out.push(Action::Answer(ticket, Answer::Done));
+                if is_draining {
+                    self.answer_when_applied(ticket, out);
+                } else {
+                    out.push(Action::Answer(ticket, Answer::Done));
+                }
             }
             Call::Leave { id } => {
                 self.registry.leave(&id);
                 self.place(now, out);
-                out.push(Action::Answer(ticket, Answer::Done));
+                self.answer_when_applied(ticket, out);
             }
             Call::Report(report) => self.report(now, ticket, *report),
         }
     }
 
+    /// Answers once the last proposal is applied: what it closes stays closed under any leader.
+    fn answer_when_applied(&mut self, ticket: Ticket, out: &mut Vec<Action>) {
+        match self.pending.back() {
+            Some(index) => self.waiting.entry(*index).or_default().push(ticket),
+            None => out.push(Action::Answer(ticket, Answer::Done)),
+        }
+    }
+
     fn adopt(&mut self, now: Duration, ticket: Ticket, text: String, raw: Raw, out: &mut Vec<Action>) {
         // What does not supersede the catalog in force changes nothing and is accepted.
         if self.state.document.is_some() && raw.version <= self.state.version() {
@@ -300,7 +331,7 @@
                 out.push(self.redirect(parked.ticket));
                 continue;
             }
-            let has_news = parked.targets != revision && self.is_settled(now);
+            let has_news = parked.targets != revision;
             let is_old = parked.version < self.state.version() || parked.zones != self.zone_changes;
             if has_news || is_old || now >= parked.until {
                 let table = self.table(now, &parked);
@@ -325,7 +356,7 @@
             }
         }
         let revision = self.table_revision();
-        let tells = self.is_settled(now) && parked.targets != revision;
+        let tells = parked.targets != revision;
         let catalog = self.state.document.as_ref().map(|d| &d.raw);
         Table {
             revision: if self.is_settled(now) {
@@ -339,11 +370,22 @@
             catalog: catalog.filter(|c| c.version > parked.version).cloned(),
             version: self.state.version(),
             running,
+            stalled: self.stalled(now),
             gateways: self.gateways.len().max(1),
             controllers: self.controllers(),
         }
     }
 
+    /// Targets that some gateway reports as stalled and none as serving.
+    fn stalled(&self, now: Duration) -> Vec<String> {
+        let fresh = || self.gateways.values().filter(|g| now < g.heard + REPORT_FRESH);
+        let mut stalled: Vec<String> = fresh().flat_map(|g| g.report.stalled.iter().cloned()).collect();
+        stalled.sort_unstable();
+        stalled.dedup();
+        stalled.retain(|id| !fresh().any(|g| g.report.served.contains(id) && !g.report.stalled.contains(id)));
+        stalled
+    }
+
     pub(super) fn redirect(&self, ticket: Ticket) -> Action {
         let leader = self.node.leader().map(str::to_owned);
         // A leader without its lease cannot name anyone better.
@@ -397,6 +439,7 @@
                 self.zone_changes += 1;
             }
             self.state.apply(record.index, &command);
+            self.targets_dirty = true;
             if self.leading_since.is_some() {
                 out.push(Action::Note(Note::Committed(command)));
             }
@@ -413,10 +456,12 @@
             self.leading_since = Some(now);
             self.registry = Registry::default();
             self.progress.clear();
+            self.staging.clear();
             self.gateways.clear();
             self.targets.clear();
             self.closed.clear();
             self.revision = 0;
+            self.targets_dirty = true;
             out.push(Action::Leadership(true));
         }
         if !leads && self.leading_since.is_some() {
--- a/src/domain/fleet/forming.rs
+++ b/src/domain/fleet/forming.rs
@@ -76,12 +76,15 @@
 }
 
 impl Progress {
-    pub(super) fn new(now: Duration, may_open: bool) -> Self {
+    /// Progress of a group as the replicated state shows it.
+    ///
+    /// `is_restored` tells that an earlier leader may have ordered the head to open.
+    pub(super) fn new(now: Duration, group: &Group, is_restored: bool) -> Self {
         Progress {
             since: now,
-            opened: false,
-            may_open,
-            closing: None,
+            opened: group.opened,
+            may_open: group.opened || is_restored,
+            closing: group.closing.then_some((Loss::Left, now)),
             sent: BTreeMap::new(),
         }
     }
@@ -218,7 +221,13 @@
 
 fn member_loss(group: &Group, member: &Member, opened: bool, view: &View) -> Option<Loss> {
     let Some(vm) = view.registry.get(&member.id) else {
-        let silent = !view.served && view.now > view.since + view.timing.lost();
+        // A new leader hears of a VM only once its heartbeats have left the old one.
+        let wait = if view.stalled {
+            view.timing.settle()
+        } else {
+            view.timing.lost()
+        };
+        let silent = !view.served && view.now > view.since + wait;
         return silent.then_some(Loss::Silent);
     };
     if vm.gone || vm.announcement.incarnation != member.incarnation {
--- a/src/domain/fleet/order.rs
+++ b/src/domain/fleet/order.rs
@@ -10,6 +10,11 @@
         /// Identifiers of the members, the head first.
         members: Vec<String>,
     },
+    /// Load a model's weights onto the host, outside of any group.
+    Stage {
+        /// Model.
+        model: String,
+    },
     /// Head: take requests.
     Open,
     /// Head: finish the requests that it has and take no more.
--- a/src/domain/fleet/place.rs
+++ b/src/domain/fleet/place.rs
@@ -5,22 +5,30 @@
 
 use super::Candidate;
 use super::Command;
+use super::Draft;
 use super::Group;
 use super::Member;
 use super::Note;
+use super::Order;
 use super::Stage;
 use super::Supply;
 use super::Target;
+use super::Task;
 use super::core::Action;
 use super::core::Core;
+use super::core::REPORT_FRESH;
+use super::core::Staging;
 use super::forming::Progress;
 use super::forming::Step;
 use super::forming::View;
 use super::plan;
 use crate::domain::catalog::Service;
+use crate::domain::gateway::Demand;
 
-/// Time for which a gateway's word on a target counts.
-const REPORT_FRESH: Duration = Duration::from_millis(1_500);
+/// Time after which an order to stage counts as lost.
+const STAGING_LIMIT: Duration = Duration::from_secs(25);
+/// Demand in groups below which a measurement says too little.
+const LEAST_DEMAND: f64 = 0.3;
 
 impl Core {
     /// Advances all groups, forms new ones, and renews the targets.
@@ -28,7 +36,11 @@
         if !self.leads(now) || self.state.document.is_none() {
             return;
         }
+        self.expire_staging(now);
         self.advance_groups(now, out);
+        if self.pending.is_empty() {
+            self.list_vms(now, out);
+        }
         if self.is_settled(now) && self.pending.is_empty() {
             self.form_groups(now, out);
         }
@@ -48,15 +60,21 @@
             let mut progress = self
                 .progress
                 .remove(&epoch)
-                .unwrap_or_else(|| Progress::new(now, is_restored));
+                .unwrap_or_else(|| Progress::new(now, &group, is_restored));
             let view = self.view(now, &group);
             let steps = progress.advance(&group, &view);
             self.progress.insert(epoch, progress);
             for step in steps {
                 match step {
                     Step::Order(order) => out.push(Action::Order(order)),
-                    Step::Opened => out.push(Action::Note(Note::Opened(epoch))),
-                    Step::Lost(loss, vm) => out.push(Action::Note(Note::Lost(epoch, loss, vm))),
+                    Step::Opened => {
+                        out.push(Action::Note(Note::Opened(epoch)));
+                        self.propose(now, None, Command::Open { epoch }, out);
+                    }
+                    Step::Lost(loss, vm) => {
+                        out.push(Action::Note(Note::Lost(epoch, loss, vm)));
+                        self.propose(now, None, Command::Close { epoch }, out);
+                    }
                     Step::Dissolve if self.pending.is_empty() => {
                         self.propose(now, None, Command::Dissolve { epoch }, out);
                     }
@@ -66,6 +84,54 @@
         }
     }
 
+    /// Lists the VMs of services without groups that take requests.
+    fn list_vms(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let mut commands = Vec::new();
+        for vm in self.registry.iter() {
+            let a = &vm.announcement;
+            let listed = self.state.listed.get(&a.id);
+            if !self.is_plain(&a.service) {
+                continue;
+            }
+            if !vm.is_usable() {
+                if listed.is_some() {
+                    commands.push(Command::Unlist { id: a.id.clone() });
+                }
+                continue;
+            }
+            let target = Target {
+                id: a.id.clone(),
+                address: a.address.clone(),
+                zone: a.zone.clone(),
+                service: a.service.clone(),
+                model: None,
+                slots: a.slots,
+                cold: false,
+            };
+            if listed != Some(&target) {
+                commands.push(Command::List(Box::new(target)));
+            }
+        }
+        if self.is_settled(now) {
+            let is_known = |id: &String| self.registry.get(id).is_some();
+            let silent = self.state.listed.keys().filter(|id| !is_known(id));
+            let since = self.leading_since.unwrap_or(now);
+            if now > since + self.timing.forgotten() {
+                commands.extend(silent.map(|id| Command::Unlist { id: id.clone() }));
+            }
+        }
+        for command in commands {
+            self.propose(now, None, command, out);
+        }
+    }
+
+    /// Whether a service is served by single VMs.
+    fn is_plain(&self, name: &str) -> bool {
+        let mut services = self.state.document.iter().flat_map(|d| &d.raw.services);
+        let service = services.find(|s| s.name == name);
+        service.is_some_and(|s| s.engine.as_ref().is_none_or(|e| e.models.is_empty()))
+    }
+
     fn view(&self, now: Duration, group: &Group) -> View<'_> {
         let head = &group.head().id;
         let fresh = || self.gateways.values().filter(|g| now < g.heard + REPORT_FRESH);
@@ -93,30 +159,75 @@
             if candidates.is_empty() {
                 continue;
             }
-            let groups = self.count_groups(service);
             let supply = Supply {
                 engine,
                 candidates,
-                groups,
-                demand: BTreeMap::new(),
+                groups: self.group_places(service),
+                vms: self
+                    .registry
+                    .iter()
+                    .filter(|vm| vm.is_usable() && vm.announcement.service == service.name)
+                    .count(),
+                demand: self.demand(now, service),
+                loading: self.loading(now, service),
             };
-            let Some(draft) = plan::draft(&supply) else {
-                continue;
-            };
-            let loading = self.loading(service);
-            if draft.loads > 0 && loading > 0 && loading + draft.loads > engine.loads_at_once {
-                continue;
+            match plan::draft(&supply) {
+                Some(Draft::Form { model, members }) => {
+                    let members = members.iter().filter_map(|c| self.member(&c.id)).collect();
+                    let command = Command::Form {
+                        service: service.name.clone(),
+                        model,
+                        members,
+                    };
+                    self.propose(now, None, command, out);
+                }
+                Some(Draft::Stage { model, vm }) => self.stage(now, &vm.id, model, out),
+                None => {}
             }
-            let members = draft.members.iter().filter_map(|c| self.member(&c.id)).collect();
-            let command = Command::Form {
-                service: service.name.clone(),
-                model: draft.model,
-                members,
-            };
-            self.propose(now, None, command, out);
         }
     }
 
+    /// Orders a spare to load weights onto its host.
+    fn stage(&mut self, now: Duration, id: &str, model: String, out: &mut Vec<Action>) {
+        let Some(vm) = self.registry.get(id) else {
+            return;
+        };
+        out.push(Action::Order(Order {
+            vm: id.to_owned(),
+            address: vm.announcement.address.clone(),
+            epoch: 0,
+            fence: self.node.term(),
+            task: Task::Stage { model: model.clone() },
+        }));
+        let staging = Staging { model, since: now };
+        self.staging.insert(id.to_owned(), staging);
+    }
+
+    /// Forgets orders to stage that have had their time or their effect.
+    fn expire_staging(&mut self, now: Duration) {
+        let registry = &self.registry;
+        self.staging.retain(|id, staging| {
+            let vm = registry.get(id);
+            let is_done = vm.is_none_or(|vm| vm.announcement.staged.contains(&staging.model));
+            !is_done && now < staging.since + STAGING_LIMIT
+        });
+    }
+
+    /// Measured demand for each model of a service; empty while too little is known.
+    fn demand(&self, now: Duration, service: &Service) -> BTreeMap<String, f64> {
+        let fresh = || self.gateways.values().filter(|g| now < g.heard + REPORT_FRESH);
+        let models = service.engine.iter().flat_map(|e| &e.models);
+        let demand: BTreeMap<String, f64> = models
+            .map(|model| {
+                let key = Demand::key(&service.name, &model.name);
+                let sum = fresh().filter_map(|g| g.report.demand.get(&key)).sum();
+                (model.name.clone(), sum)
+            })
+            .collect();
+        let is_known = demand.values().all(|d: &f64| *d > LEAST_DEMAND);
+        if is_known { demand } else { BTreeMap::new() }
+    }
+
     fn free_vms(&self, now: Duration, service: &Service) -> Vec<Candidate> {
         let recent = self.timing.lost_when_stalled();
         let vms = self.registry.iter().filter(|vm| {
@@ -131,6 +242,7 @@
             id: vm.announcement.id.clone(),
             domain: vm.announcement.domain.clone(),
             staged: vm.announcement.staged.clone(),
+            staging: self.staging.get(&vm.announcement.id).map(|s| s.model.clone()),
         };
         vms.map(candidate).collect()
     }
@@ -145,22 +257,22 @@
         })
     }
 
-    fn count_groups(&self, service: &Service) -> BTreeMap<String, usize> {
-        let mut counts = BTreeMap::new();
-        for group in self.state.groups.values().filter(|g| g.service == service.name) {
-            let closing = self
-                .progress
-                .get(&group.epoch)
-                .is_some_and(|p| p.closing.is_some());
-            if !closing {
-                *counts.entry(group.model.clone()).or_default() += 1;
-            }
-        }
-        counts
+    /// Model and fabric domain of each group that is not closing.
+    fn group_places(&self, service: &Service) -> Vec<(String, String)> {
+        let is_closing = |epoch| self.progress.get(epoch).is_some_and(|p| p.closing.is_some());
+        let groups = self.state.groups.values().filter(|g| g.service == service.name);
+        groups
+            .filter(|g| !is_closing(&g.epoch))
+            .map(|g| {
+                let vm = g.members.iter().find_map(|m| self.registry.get(&m.id));
+                let domain = vm.map(|vm| vm.announcement.domain.clone());
+                (g.model.clone(), domain.unwrap_or_default())
+            })
+            .collect()
     }
 
-    /// Members of forming groups that load weights from the store.
-    fn loading(&self, service: &Service) -> usize {
+    /// Loads from the store in progress: members of forming groups, and spares.
+    fn loading(&self, now: Duration, service: &Service) -> usize {
         let forming = self.state.groups.values().filter(|g| {
             let progress = self.progress.get(&g.epoch);
             g.service == service.name && progress.is_none_or(|p| !p.opened && p.closing.is_none())
@@ -172,46 +284,38 @@
             let is_staged = vm.is_some_and(|vm| vm.announcement.staged.contains(&group.model));
             !is_ready && !is_staged
         };
-        forming
+        let joining: usize = forming
             .map(|g| g.members.iter().filter(|m| is_loading(g, m)).count())
-            .sum()
+            .sum();
+        let staging = self.staging.iter().filter(|(id, staging)| {
+            let is_free = self.state.group_of(id).is_none();
+            is_free && now < staging.since + STAGING_LIMIT
+        });
+        joining + staging.count()
     }
 
-    fn renew_targets(&mut self, now: Duration) {
+    /// Takes the targets from the replicated state, which any new leader has at once.
+    pub(super) fn renew_targets(&mut self, now: Duration) {
         let mut closed = Vec::new();
         let mut targets = Vec::new();
         for group in self.state.groups.values() {
-            let Some(progress) = self.progress.get(&group.epoch) else {
-                continue;
-            };
-            if progress.closing.is_some() {
+            let progress = self.progress.get(&group.epoch);
+            if group.closing || progress.is_some_and(|p| p.closing.is_some()) {
                 closed.push(group.head().id.clone());
-            } else if progress.opened {
+            } else if group.opened {
                 targets.push(self.group_target(now, group));
             }
         }
-        let services = self.state.document.iter().flat_map(|d| &d.raw.services);
-        let is_plain = |name: &str| {
-            let service = services.clone().find(|s| s.name == name);
-            service.is_some_and(|s| s.engine.as_ref().is_none_or(|e| e.models.is_empty()))
-        };
-        for vm in self.registry.iter() {
-            let a = &vm.announcement;
-            if !is_plain(&a.service) {
-                continue;
-            }
-            if !vm.is_usable() {
-                closed.push(a.id.clone());
+        for target in self.state.listed.values() {
+            let vm = self.registry.get(&target.id);
+            if vm.is_some_and(|vm| !vm.is_usable()) {
+                closed.push(target.id.clone());
                 continue;
             }
+            let cold = vm.is_some_and(|vm| now < vm.cold_until);
             targets.push(Target {
-                id: a.id.clone(),
-                address: a.address.clone(),
-                zone: a.zone.clone(),
-                service: a.service.clone(),
-                model: None,
-                slots: a.slots,
-                cold: now < vm.cold_until,
+                cold,
+                ..target.clone()
             });
         }
         if targets != self.targets || closed != self.closed {
--- a/src/domain/fleet/state.rs
+++ b/src/domain/fleet/state.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Target;
 use crate::domain::catalog::Raw;
 
 /// Catalog in force and the text that reads return.
@@ -41,6 +42,10 @@
     pub model: String,
     /// Members, the head first.
     pub members: Vec<Member>,
+    /// Whether the head has taken requests.
+    pub opened: bool,
+    /// Whether the group gets no new requests and is to be dissolved.
+    pub closing: bool,
 }
 
 impl Group {
@@ -71,6 +76,23 @@
         /// Members, the head first.
         members: Vec<Member>,
     },
+    /// The head of a group takes requests.
+    Open {
+        /// Epoch of the group.
+        epoch: u64,
+    },
+    /// A group gets no new requests from now on.
+    Close {
+        /// Epoch of the group.
+        epoch: u64,
+    },
+    /// Send requests to a VM of a service without groups.
+    List(Box<Target>),
+    /// Send no more requests to a VM of a service without groups.
+    Unlist {
+        /// Identifier of the VM.
+        id: String,
+    },
     /// Dissolve a group whose head takes no more requests.
     Dissolve {
         /// Epoch of the group.
@@ -89,6 +111,8 @@
     pub zones_out: BTreeSet<String>,
     /// Groups by epoch.
     pub groups: BTreeMap<u64, Group>,
+    /// VMs of services without groups that take requests.
+    pub listed: BTreeMap<String, Target>,
 }
 
 impl State {
@@ -126,6 +150,22 @@
                 model,
                 members,
             } => self.form(index, service, model, members),
+            Command::Open { epoch } => {
+                if let Some(group) = self.groups.get_mut(epoch) {
+                    group.opened = true;
+                }
+            }
+            Command::Close { epoch } => {
+                if let Some(group) = self.groups.get_mut(epoch) {
+                    group.closing = true;
+                }
+            }
+            Command::List(target) => {
+                self.listed.insert(target.id.clone(), (**target).clone());
+            }
+            Command::Unlist { id } => {
+                self.listed.remove(id);
+            }
             Command::Dissolve { epoch } => {
                 self.groups.remove(epoch);
             }
@@ -143,6 +183,8 @@
             service: service.to_owned(),
             model: model.to_owned(),
             members: members.to_vec(),
+            opened: false,
+            closing: false,
         };
         self.groups.insert(index, group);
         self.check();
--- a/src/domain/fleet/table.rs
+++ b/src/domain/fleet/table.rs
@@ -44,6 +44,8 @@
     pub version: u64,
     /// Requests in progress at each target from all other gateways.
     pub running: BTreeMap<String, u32>,
+    /// Targets that some gateway has seen stop and none has seen answer since.
+    pub stalled: Vec<String>,
     /// Gateways that share limits, at least 1.
     pub gateways: usize,
     /// Addresses of the controllers.
--- a/src/domain/fleet/timing.rs
+++ b/src/domain/fleet/timing.rs
@@ -5,6 +5,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Time for a member's order to leave to arrive and take effect.
+const BREAK_MARGIN: Duration = Duration::from_millis(500);
+
 /// Settings of the fleet's decisions.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -60,6 +63,6 @@
 
     /// Time after which a head that cannot be reached is broken, once its members have left.
     pub fn broken(&self) -> Duration {
-        Duration::from_millis(self.stall_ms + 1_500)
+        Duration::from_millis(self.stall_ms) + BREAK_MARGIN
     }
 }
--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -18,8 +18,9 @@
 const HOME_LEAD: f64 = 0.04;
 /// Time for which a target counts as serving after an answer.
 const SERVED_FOR: Duration = Duration::from_millis(1_000);
-/// Time for which a target counts as stalled after a failure without an answer since.
-const STALLED_FOR: Duration = Duration::from_millis(1_500);
+/// Silence of all running streams of a target after which it gets no new requests: several
+/// passes of a full engine.
+const SUSPECT_AFTER: Duration = Duration::from_millis(350);
 
 /// How a send ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -75,7 +76,12 @@
     ejections: u32,
     ejected_until: Duration,
     answered: Option<Duration>,
-    stalled: Option<Duration>,
+    /// Whether a send has failed and none was answered since.
+    has_failed: bool,
+    /// Streams that have sent an event and not ended.
+    streaming: u32,
+    /// Whether other gateways have reported the target as stalled.
+    is_accused: bool,
     /// Earliest time of the next request while the target is cold.
     cold_next: Duration,
 }
@@ -112,6 +118,7 @@
         for (id, slot) in &mut self.slots {
             slot.others = table.running.get(id).copied().unwrap_or(0);
             slot.closed = table.closed.contains(id);
+            slot.is_accused = table.stalled.contains(id);
         }
     }
 
@@ -139,7 +146,7 @@
         if fit.is_empty() {
             return Choice::Nothing;
         }
-        let healthy: Vec<&Slot> = fit.iter().copied().filter(|s| s.ejected_until <= now).collect();
+        let healthy: Vec<&Slot> = fit.iter().copied().filter(|s| s.is_healthy(now)).collect();
         // With all of them left out, any may have recovered.
         let pool = if healthy.is_empty() { &fit } else { &healthy };
         let untried: Vec<&Slot> = pool
@@ -148,9 +155,7 @@
             .filter(|s| !need.tried.contains(&s.target.id))
             .collect();
         let pool = if untried.is_empty() { pool } else { &untried };
-        let free = pool
-            .iter()
-            .filter(|s| s.load() < s.target.slots && s.is_warm(now));
+        let free = pool.iter().filter(|s| s.load() < self.limit(s) && s.is_warm(now));
         let best = free.min_by(|a, b| self.score(a).total_cmp(&self.score(b)));
         match best {
             Some(slot) => Choice::Send {
@@ -172,11 +177,19 @@
         }
     }
 
-    /// Takes note of a sign of life in the middle of an answer.
-    pub fn progress(&mut self, now: Duration, id: &str) {
+    /// Takes note of an event of a stream.
+    pub fn progress(&mut self, now: Duration, id: &str, is_first: bool) {
         if let Some(slot) = self.slots.get_mut(id) {
             slot.answered = Some(now);
-            slot.stalled = None;
+            slot.has_failed = false;
+            slot.streaming += u32::from(is_first);
+        }
+    }
+
+    /// Takes note that a stream which had sent events has ended.
+    pub fn end_stream(&mut self, id: &str) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.streaming = slot.streaming.saturating_sub(1);
         }
     }
 
@@ -189,7 +202,7 @@
         match outcome {
             Outcome::Answered => {
                 slot.answered = Some(now);
-                slot.stalled = None;
+                slot.has_failed = false;
                 slot.failures = 0;
                 slot.ejections = 0;
             }
@@ -197,7 +210,7 @@
             Outcome::Misdirected => self.eject(now, id),
             Outcome::Failed | Outcome::Stalled => {
                 slot.failures += 1;
-                slot.stalled = Some(now);
+                slot.has_failed = true;
                 let limit = self.settings.eject_failures;
                 if slot.failures >= limit || slot.ejections > 0 || outcome == Outcome::Stalled {
                     self.eject(now, id);
@@ -227,9 +240,9 @@
         self.filter(|s| s.answered.is_some_and(|at| now < at + SERVED_FOR))
     }
 
-    /// Targets that have failed lately without an answer since.
+    /// Targets that have failed without an answer since.
     pub fn stalled(&self, now: Duration) -> Vec<String> {
-        self.filter(|s| s.stalled.is_some_and(|at| now < at + STALLED_FOR))
+        self.filter(|s| s.is_suspect(now) || s.has_failed)
     }
 
     /// Gateways that share limits.
@@ -249,6 +262,17 @@
             && !self.zones_out.contains(&slot.target.zone)
     }
 
+    /// Requests that a target may have.
+    ///
+    /// Engines are left a margin for what other gateways send before the next report.
+    fn limit(&self, slot: &Slot) -> u32 {
+        if slot.target.model.is_none() {
+            return slot.target.slots;
+        }
+        let part = f64::from(slot.target.slots) * self.settings.engine_fill;
+        (part as u32).max(1)
+    }
+
     fn score(&self, slot: &Slot) -> f64 {
         let used = f64::from(slot.load()) / f64::from(slot.target.slots.max(1));
         if slot.target.zone == self.zone {
@@ -270,7 +294,9 @@
             ejections: 0,
             ejected_until: Duration::ZERO,
             answered: None,
-            stalled: None,
+            has_failed: false,
+            streaming: 0,
+            is_accused: false,
             cold_next: Duration::ZERO,
         }
     }
@@ -279,6 +305,19 @@
         self.running + self.others
     }
 
+    /// Whether all running streams of the target have been silent for too long.
+    fn is_suspect(&self, now: Duration) -> bool {
+        let heard = self.answered.unwrap_or(Duration::ZERO);
+        self.streaming > 0 && now > heard + SUSPECT_AFTER
+    }
+
+    /// Whether the target may get a request; one that was left out gets a single one at first.
+    fn is_healthy(&self, now: Duration) -> bool {
+        let is_vouched = self.answered.is_some_and(|at| now < at + SUSPECT_AFTER);
+        let is_probed = self.ejections > 0 && self.running > 0;
+        self.ejected_until <= now && !is_probed && !self.is_suspect(now) && (!self.is_accused || is_vouched)
+    }
+
     /// Whether the cold limit leaves room for a request at `now`.
     fn is_warm(&self, now: Duration) -> bool {
         !self.target.cold || self.cold_next <= now
--- a/src/domain/gateway/mod.rs
+++ b/src/domain/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod budget;
+mod demand;
 mod events;
 mod settings;
 
@@ -10,6 +11,8 @@
 pub use balance::Need;
 pub use balance::Outcome;
 pub use budget::Budget;
+pub use demand::Demand;
+pub use demand::work;
 pub use events::Event;
 pub use events::Splitter;
 pub use settings::Settings;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -26,8 +26,10 @@
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Target;
 use crate::domain::gateway::Choice;
+use crate::domain::gateway::Demand;
 use crate::domain::gateway::Need;
 use crate::domain::gateway::Outcome;
+use crate::domain::gateway::work;
 use crate::logging;
 use crate::platform::header as wire;
 
@@ -102,6 +104,7 @@
     context
         .budget()
         .request(clock::now(), &context.settings, &service.name);
+    count_demand(&context, &request, &service);
     let mut attempts = Attempts::new(&context, &request, &service);
     let response = attempts.run().await;
     log_end(&request, &attempts, response.status());
@@ -111,6 +114,20 @@
     response
 }
 
+fn count_demand(context: &Context, request: &Request, service: &Service) {
+    let Some((engine, name)) = service.engine.as_ref().zip(request.model.as_deref()) else {
+        return;
+    };
+    let Some(model) = engine.model(name) else {
+        return;
+    };
+    let usual = (engine.mean_prompt as u64, engine.mean_answer as u64);
+    let (prompt, answer) = request.tokens.unwrap_or(usual);
+    let work = work(engine, model, prompt as f64, answer as f64);
+    let key = Demand::key(&service.name, name);
+    context.demand().add(clock::now(), key, work);
+}
+
 struct Attempts<'a> {
     context: &'a Arc<Context>,
     request: &'a Arc<Request>,
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -20,7 +20,6 @@
 use super::request::upstream_headers;
 use crate::adapters::clock;
 use crate::adapters::http1::Body;
-use crate::domain::catalog::Catalog;
 use crate::domain::catalog::Grant;
 use crate::domain::catalog::Route;
 use crate::logging;
@@ -86,13 +85,17 @@
             ));
         }
     };
-    let service = share(&catalog, &route);
+    let service = share(&route);
     let path = head.uri.path_and_query().cloned();
     let model = text(&head.headers, wire::MODEL).map(str::to_owned);
+    let tokens = text(&head.headers, wire::TOKENS).and_then(wire::tokens);
+    let expected = text(&head.headers, wire::ANSWER_HINT).and_then(|v| v.trim().parse().ok());
+    let tokens = tokens.map(|(prompt, most)| (prompt, expected.unwrap_or(most).min(most)));
     Ok(Request {
         id: id.to_owned(),
         deadline: deadline(&head.headers, &route, started),
         model,
+        tokens,
         service,
         method: head.method,
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
@@ -113,7 +116,7 @@
 }
 
 /// Service for one request, drawn by the weights of the route's shares.
-fn share(_catalog: &Catalog, route: &Route) -> String {
+fn share(route: &Route) -> String {
     let total: u64 = route.shares.iter().map(|s| s.weight).sum();
     let mut draw = rand::random_range(0..total.max(1));
     for share in &route.shares {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -17,6 +17,7 @@
 use crate::domain::catalog::Catalog;
 use crate::domain::gateway::Balancer;
 use crate::domain::gateway::Budget;
+use crate::domain::gateway::Demand;
 use crate::domain::gateway::Settings;
 
 /// Time before the withdrawal limit at which the catalog stops counting: the last request
@@ -33,6 +34,7 @@
     pub(super) room: Notify,
     balancer: Mutex<Balancer>,
     budget: Mutex<Budget>,
+    demand: Mutex<Demand>,
     catalog: Mutex<Option<Arc<Catalog>>>,
     /// Time of sending of the last report that the leader answered, in milliseconds.
     confirmed_ms: AtomicU64,
@@ -55,6 +57,7 @@
                 settings.dispatch.clone(),
             )),
             budget: Mutex::default(),
+            demand: Mutex::default(),
             catalog: Mutex::default(),
             confirmed_ms: AtomicU64::new(0),
             has_targets: AtomicBool::new(false),
@@ -104,4 +107,8 @@
     pub(super) fn budget(&self) -> MutexGuard<'_, Budget> {
         self.budget.lock().expect("no panic under this lock")
     }
+
+    pub(super) fn demand(&self) -> MutexGuard<'_, Demand> {
+        self.demand.lock().expect("no panic under this lock")
+    }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -47,6 +47,8 @@
     pub(super) service: String,
     pub(super) account: Option<String>,
     pub(super) model: Option<String>,
+    /// Prompt and expected answer, in tokens.
+    pub(super) tokens: Option<(u64, u64)>,
     pub(super) method: Method,
     pub(super) path: PathAndQuery,
     /// Headers for the upstream, without those of a single send.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -31,7 +31,7 @@
 /// Events that may wait for a slow caller.
 const WAITING: usize = 16;
 /// Allowed pauses after which a stream counts as stopped.
-const STOPPED_GAPS: u32 = 4;
+const STOPPED_GAPS: u32 = 3;
 /// Pause after which a stream counts as stopped when the route allows any.
 const STOPPED: Duration = Duration::from_millis(2_000);
 /// Longest wait for the head of a resumed stream.
@@ -60,6 +60,7 @@
         tried: vec![send.target.id.clone()],
         last: None,
         events: 0,
+        is_streaming: false,
     };
     tokio::spawn(pump.run(body, link, send));
     answer
@@ -82,6 +83,8 @@
     /// Identifier of the last event that was passed on.
     last: Option<u64>,
     events: u64,
+    /// Whether the current run has sent an event.
+    is_streaming: bool,
 }
 
 impl Pump {
@@ -91,7 +94,11 @@
             let (body, link, send) = current;
             let context = send.context.clone();
             let target = send.target.id.clone();
+            self.is_streaming = false;
             let end = self.copy(body, &send).await;
+            if self.is_streaming {
+                context.balancer().end_stream(&target);
+            }
             match end {
                 End::Complete => {
                     context.upstreams.keep(link);
@@ -146,7 +153,11 @@
             if events.is_empty() {
                 continue;
             }
-            send.context.balancer().progress(clock::now(), &send.target.id);
+            let is_first = !self.is_streaming;
+            self.is_streaming = true;
+            send.context
+                .balancer()
+                .progress(clock::now(), &send.target.id, is_first);
             if self.events == 0 {
                 let labels = [self.service.name.as_str()];
                 let took = (clock::now() - self.request.started).as_secs_f64();
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -1,6 +1,5 @@
 //! Reports to the leading controller and what its answers change.
 
-use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -76,7 +75,7 @@
         running: balancer.running(),
         served: balancer.served(now),
         stalled: balancer.stalled(now),
-        demand: BTreeMap::new(),
+        demand: context.demand().averages(now).clone(),
         draining: context.is_draining(),
     }
 }
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -16,6 +16,8 @@
 pub const MODEL: &str = "x-model";
 /// Prompt tokens and most answer tokens, joined by a comma.
 pub const TOKENS: &str = "x-token-usage";
+/// Caller's estimate of the answer, in tokens.
+pub const ANSWER_HINT: &str = "x-length-hint";
 /// Identifier of the last event that the caller has.
 pub const LAST_EVENT: &str = "last-event-id";
 /// Urgency at the engine, 0 to 9.
--- a/src/platform/order.rs
+++ b/src/platform/order.rs
@@ -19,13 +19,17 @@
             "model-name": model,
             "members": members,
         }),
+        // The platform names this order after a field of the engine's report.
+        Task::Stage { model } => json!({ "operation": "phase-name", "model-name": model }),
         Task::Open => json!({ "operation": "open" }),
         Task::Close => json!({ "operation": "close", "method": "queue" }),
         Task::Abort => json!({ "operation": "close", "method": "preempt" }),
         Task::Leave => json!({ "operation": "leave" }),
     };
-    body["group"] = Value::from(order.group());
-    body["epoch"] = Value::from(order.epoch);
+    if !matches!(order.task, Task::Stage { .. }) {
+        body["group"] = Value::from(order.group());
+        body["epoch"] = Value::from(order.epoch);
+    }
     body["fencing-token"] = Value::from(order.fence);
     body.to_string().into_bytes()
 }
