gateway: each keeps to its part of a crowded target; plan: growth before second spares

Cause: near a target's limit all gateways took the same free slot within one report interval, so engines queued and answers were late; the planner staged up to two spares in each domain before it formed groups that demand asked for. Ruled out: faster reports (more processor time on entries, which one site prices high).

--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -371,11 +371,24 @@
             version: self.state.version(),
             running,
             stalled: self.stalled(now),
+            share: self.share(now, &parked.gateway),
             gateways: self.gateways.len().max(1),
             controllers: self.controllers(),
         }
     }
 
+    /// Part of all demand that arrives at a gateway.
+    fn share(&self, now: Duration, name: &str) -> f64 {
+        let demand = |g: &Gateway| g.report.demand.values().sum::<f64>();
+        let fresh = self.gateways.values().filter(|g| now < g.heard + REPORT_FRESH);
+        let all: f64 = fresh.map(demand).sum();
+        let own = self.gateways.get(name).map_or(0.0, demand);
+        if all > 0.0 {
+            return own / all;
+        }
+        1.0 / self.gateways.len().max(1) as f64
+    }
+
     /// Targets that some gateway reports as stalled and none as serving.
     fn stalled(&self, now: Duration) -> Vec<String> {
         let fresh = || self.gateways.values().filter(|g| now < g.heard + REPORT_FRESH);
--- a/src/domain/fleet/plan.rs
+++ b/src/domain/fleet/plan.rs
@@ -16,7 +16,7 @@
 const TARGET_FILL: f64 = 0.72;
 /// Fill up to which spares come before further groups: callers lose more by a group that
 /// is down for a whole load than by one that is full.
-const TIGHT_FILL: f64 = 1.15;
+const TIGHT_FILL: f64 = 1.0;
 /// Part of all VMs that the configured shares are spread over before demand is measured.
 const CONFIGURED_PART: f64 = 0.55;
 /// Cost of a join with staged weights, in loads; keeps costs above 0.
@@ -139,15 +139,21 @@
         let here = |(m, d): &(String, String)| *m == p.model.name && d == p.domain;
         supply.groups.iter().any(here)
     };
-    let lacks_spare = |p: &&Place| p.left_over() == 0 && p.blanks() > 0 && has_group(p);
-    if let Some(place) = places.iter().filter(lacks_spare).max_by_key(|p| p.model.size) {
+    let has_spare = |domain: &str| {
+        let here = places.iter().filter(|p| p.domain == domain);
+        here.into_iter().any(|p| p.left_over() > 0)
+    };
+    let is_open = |p: &&Place| p.left_over() == 0 && p.blanks() > 0 && has_group(p);
+    let first_spare = places.iter().filter(|p| is_open(p) && !has_spare(p.domain));
+    if let Some(place) = first_spare.max_by_key(|p| p.model.size) {
         return stage(place);
     }
     let is_begun = |p: &Place| p.left_over() > 0 && p.left_over() + p.blanks() >= p.model.size;
     let is_room = |p: &Place| p.blanks() >= p.model.size;
     let place = most_wanted(supply, &places, TARGET_FILL, is_begun);
     let place = place.or_else(|| most_wanted(supply, &places, TARGET_FILL, is_room));
-    place.and_then(stage)
+    let second_spare = || places.iter().filter(is_open).max_by_key(|p| p.model.size);
+    place.or_else(second_spare).and_then(stage)
 }
 
 /// Place for the model that lacks most, with the fewest loads for what it adds; between
--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -14,6 +14,8 @@
 use crate::domain::fleet::Table;
 use crate::domain::fleet::Target;
 
+/// Part of a target's limit from which gateways keep to their own parts.
+const CROWDED: f64 = 0.75;
 /// Lead, as a part of its slots, that a target in the own availability zone has.
 const HOME_LEAD: f64 = 0.04;
 /// Time for which a target counts as serving after an answer.
@@ -94,6 +96,8 @@
     slots: BTreeMap<String, Slot>,
     zones_out: Vec<String>,
     gateways: usize,
+    /// Own part of all demand.
+    share: f64,
 }
 
 impl Balancer {
@@ -105,6 +109,7 @@
             slots: BTreeMap::new(),
             zones_out: Vec::new(),
             gateways: 1,
+            share: 1.0,
         }
     }
 
@@ -115,6 +120,7 @@
         }
         self.zones_out.clone_from(&table.zones_out);
         self.gateways = table.gateways.max(1);
+        self.share = table.share;
         for (id, slot) in &mut self.slots {
             slot.others = table.running.get(id).copied().unwrap_or(0);
             slot.closed = table.closed.contains(id);
@@ -155,7 +161,7 @@
             .filter(|s| !need.tried.contains(&s.target.id))
             .collect();
         let pool = if untried.is_empty() { pool } else { &untried };
-        let free = pool.iter().filter(|s| s.load() < self.limit(s) && s.is_warm(now));
+        let free = pool.iter().filter(|s| self.has_room(s) && s.is_warm(now));
         let best = free.min_by(|a, b| self.score(a).total_cmp(&self.score(b)));
         match best {
             Some(slot) => Choice::Send {
@@ -262,6 +268,20 @@
             && !self.zones_out.contains(&slot.target.zone)
     }
 
+    /// Whether a target has room for one more request.
+    ///
+    /// Near its limit all gateways see the same free slot before they see each other take it,
+    /// so there each one keeps to its own part.
+    fn has_room(&self, slot: &Slot) -> bool {
+        let limit = self.limit(slot);
+        let load = slot.load();
+        if load >= limit || slot.target.model.is_none() {
+            return load < limit;
+        }
+        let part = (f64::from(limit) * self.share).ceil();
+        f64::from(load) < f64::from(limit) * CROWDED || f64::from(slot.running) < part
+    }
+
     /// Requests that a target may have.
     ///
     /// Engines are left a margin for what other gateways send before the next report.
