fleet: all loads before traffic, strays leave before they are claimed; tests of the new parts

Cause: loads before the first request neither count nor slow each other, yet only six ran at once, so a third of the VMs had no weights when traffic began. Ruled out: engine batches as cause of late first events (their time does not depend on load).

--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -115,6 +115,8 @@
     pub(super) progress: BTreeMap<u64, Progress>,
     /// Spares that were ordered to load weights.
     pub(super) staging: BTreeMap<String, Staging>,
+    /// VMs that were told to leave a dissolved group, with the time.
+    pub(super) strays: BTreeMap<String, Duration>,
     pub(super) gateways: BTreeMap<String, Gateway>,
     /// Identity that last asked to join from each address.
     pub(super) asked: BTreeMap<String, String>,
@@ -153,6 +155,7 @@
             registry: Registry::default(),
             progress: BTreeMap::new(),
             staging: BTreeMap::new(),
+            strays: BTreeMap::new(),
             gateways: BTreeMap::new(),
             asked: BTreeMap::new(),
             leading_since: None,
@@ -359,11 +362,7 @@
         let tells = parked.targets != revision;
         let catalog = self.state.document.as_ref().map(|d| &d.raw);
         Table {
-            revision: if self.is_settled(now) {
-                revision
-            } else {
-                parked.targets
-            },
+            revision,
             targets: tells.then(|| self.targets.clone()),
             closed: self.closed.clone(),
             zones_out: self.state.zones_out.iter().cloned().collect(),
@@ -470,6 +469,7 @@
             self.registry = Registry::default();
             self.progress.clear();
             self.staging.clear();
+            self.strays.clear();
             self.gateways.clear();
             self.targets.clear();
             self.closed.clear();
--- a/src/domain/fleet/place.rs
+++ b/src/domain/fleet/place.rs
@@ -16,6 +16,7 @@
 use super::Task;
 use super::core::Action;
 use super::core::Core;
+use super::core::Gateway;
 use super::core::REPORT_FRESH;
 use super::core::Staging;
 use super::forming::Progress;
@@ -25,6 +26,8 @@
 use crate::domain::catalog::Service;
 use crate::domain::gateway::Demand;
 
+/// Wait before a VM is told again to leave a dissolved group.
+const STRAY_REPEAT: Duration = Duration::from_millis(1_300);
 /// Time after which an order to stage counts as lost.
 const STAGING_LIMIT: Duration = Duration::from_secs(25);
 /// Demand in groups below which a measurement says too little.
@@ -38,6 +41,11 @@
         }
         self.expire_staging(now);
         self.advance_groups(now, out);
+        self.release_strays(now, out);
+        let is_served = |g: &Gateway| !g.report.demand.is_empty();
+        if !self.state.has_traffic && self.pending.is_empty() && self.gateways.values().any(is_served) {
+            self.propose(now, None, Command::Serve, out);
+        }
         if self.pending.is_empty() {
             self.list_vms(now, out);
         }
@@ -84,6 +92,33 @@
         }
     }
 
+    /// Takes VMs out of groups that are dissolved.
+    ///
+    /// An order that was carried out late may have put a VM back into such a group, and even
+    /// have opened it; the VM is free only once it has left.
+    fn release_strays(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.strays.retain(|_, sent| now < *sent + STRAY_REPEAT);
+        for vm in self.registry.iter().filter(|vm| !vm.gone) {
+            let a = &vm.announcement;
+            let Some(membership) = &a.membership else {
+                continue;
+            };
+            let is_held = self.state.groups.contains_key(&membership.epoch);
+            // A VM that is claimed by a newer group leaves the old one by joining.
+            if is_held || self.state.group_of(&a.id).is_some() || self.strays.contains_key(&a.id) {
+                continue;
+            }
+            self.strays.insert(a.id.clone(), now);
+            out.push(Action::Order(Order {
+                vm: a.id.clone(),
+                address: a.address.clone(),
+                epoch: membership.epoch,
+                fence: self.node.term(),
+                task: Task::Leave,
+            }));
+        }
+    }
+
     /// Lists the VMs of services without groups that take requests.
     fn list_vms(&mut self, now: Duration, out: &mut Vec<Action>) {
         let mut commands = Vec::new();
@@ -170,6 +205,7 @@
                     .count(),
                 demand: self.demand(now, service),
                 loading: self.loading(now, service),
+                has_traffic: self.state.has_traffic,
             };
             match plan::draft(&supply) {
                 Some(Draft::Form { model, members }) => {
@@ -237,6 +273,7 @@
                 && now < vm.heard + recent
                 && !self.state.zones_out.contains(&a.zone)
                 && self.state.group_of(&a.id).is_none()
+                && a.membership.is_none()
         });
         let candidate = |vm: &super::Vm| Candidate {
             id: vm.announcement.id.clone(),
--- a/src/domain/fleet/plan.rs
+++ b/src/domain/fleet/plan.rs
@@ -5,7 +5,7 @@
 //! with staged weights, and the loads go where they complete the most: first to survivors
 //! of a broken group that lack one VM, then to a spare for each model in each fabric domain,
 //! since a group can only be repaired from its own domain, and only then to further groups.
-//! Before any traffic loads are cheap, and groups are formed from whatever is free.
+//! Before any traffic loads neither count nor slow each other down, so all VMs load at once.
 
 use std::collections::BTreeMap;
 
@@ -14,11 +14,8 @@
 
 /// Part of a group's time that demand should take at most.
 const TARGET_FILL: f64 = 0.72;
-/// Fill up to which spares come before further groups: callers lose more by a group that
-/// is down for a whole load than by one that is full.
-const TIGHT_FILL: f64 = 1.0;
 /// Part of all VMs that the configured shares are spread over before demand is measured.
-const CONFIGURED_PART: f64 = 0.55;
+const CONFIGURED_PART: f64 = 0.53;
 /// Cost of a join with staged weights, in loads; keeps costs above 0.
 const JOIN_COST: f64 = 0.3;
 /// Multiple of the loads at once up to which a load that completes a group may start.
@@ -69,6 +66,8 @@
     pub demand: BTreeMap<String, f64>,
     /// Loads in progress.
     pub loading: usize,
+    /// Whether requests have arrived; before that loads have no limit.
+    pub has_traffic: bool,
 }
 
 /// What to do next.
@@ -120,11 +119,11 @@
         return Some(form(place, Candidate::is_ready));
     }
     let at_once = supply.engine.loads_at_once.max(1);
-    let may_load = supply.loading < at_once;
-    let may_repair = (supply.loading as f64) < at_once as f64 * REPAIR_OVERLOAD;
-    if supply.demand.is_empty() && may_load {
+    let may_load = !supply.has_traffic || supply.loading < at_once;
+    let may_repair = may_load || (supply.loading as f64) < at_once as f64 * REPAIR_OVERLOAD;
+    if !supply.has_traffic {
         let is_room = |p: &Place| p.ready() + p.blanks() >= p.model.size;
-        if let Some(place) = most_wanted(supply, &places, TIGHT_FILL, is_room) {
+        if let Some(place) = most_wanted(supply, &places, TARGET_FILL, is_room) {
             return Some(form(place, |c, model| c.is_ready(model) || c.is_blank()));
         }
     }
--- a/src/domain/fleet/state.rs
+++ b/src/domain/fleet/state.rs
@@ -76,6 +76,8 @@
         /// Members, the head first.
         members: Vec<Member>,
     },
+    /// Requests have arrived.
+    Serve,
     /// The head of a group takes requests.
     Open {
         /// Epoch of the group.
@@ -111,6 +113,8 @@
     pub zones_out: BTreeSet<String>,
     /// Groups by epoch.
     pub groups: BTreeMap<u64, Group>,
+    /// Whether requests have ever arrived.
+    pub has_traffic: bool,
     /// VMs of services without groups that take requests.
     pub listed: BTreeMap<String, Target>,
 }
@@ -150,6 +154,7 @@
                 model,
                 members,
             } => self.form(index, service, model, members),
+            Command::Serve => self.has_traffic = true,
             Command::Open { epoch } => {
                 if let Some(group) = self.groups.get_mut(epoch) {
                     group.opened = true;
--- a/src/domain/gateway/settings.rs
+++ b/src/domain/gateway/settings.rs
@@ -42,7 +42,7 @@
             eject_ms: 500,
             eject_max_ms: 8_000,
             cold_use: 0.9,
-            engine_fill: 0.93,
+            engine_fill: 1.0,
             // A caller that is told at once can come back while its answer is still worth having.
             wait_part: 0.12,
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -61,6 +61,7 @@
         last: None,
         events: 0,
         is_streaming: false,
+        first_ms: 0,
     };
     tokio::spawn(pump.run(body, link, send));
     answer
@@ -85,6 +86,8 @@
     events: u64,
     /// Whether the current run has sent an event.
     is_streaming: bool,
+    /// Time from the request to its first event, in milliseconds.
+    first_ms: u64,
 }
 
 impl Pump {
@@ -163,6 +166,7 @@
                 let took = (clock::now() - self.request.started).as_secs_f64();
                 let first = send.context.metrics.first.with_label_values(&labels);
                 first.observe(took);
+                self.first_ms = elapsed(&self.request);
             }
             send.context.metrics.events.inc_by(events.len() as u64);
             let mut part = Vec::new();
@@ -271,6 +275,7 @@
             ("end", end.into()),
             ("events", self.events.into()),
             ("runs", self.runs.into()),
+            ("first_ms", self.first_ms.into()),
             ("after_ms", elapsed(&self.request).into()),
         ]);
     }
--- /dev/null
+++ b/tests/catalog.rs
@@ -0,0 +1,132 @@
+//! Catalogs: the platform's form, checks of the whole document, routes and keys.
+
+use heatherramp::domain::catalog::Catalog;
+use heatherramp::domain::catalog::Error;
+use heatherramp::domain::catalog::Grant;
+use heatherramp::domain::catalog::Raw;
+use heatherramp::domain::catalog::Repeat;
+use heatherramp::platform::manifest;
+use proptest::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+
+fn document() -> Value {
+    json!({
+        "version": 7,
+        "routes": [
+            {"name": "notes", "host": "a.example", "path-prefix": "/x/", "type": "streaming",
+             "timeout-ms": 8000, "target-latency-ms": 500, "priority": 1, "max-attempts": 2,
+             "traffic-split": [{"service": "engine", "weight": 90}, {"service": "desk", "weight": 10}],
+             "stream-resume": true, "target-gap-ms": 300},
+            {"name": "orders", "host": "a.example", "path-prefix": "/x/orders/", "type": "non_idempotent",
+             "timeout-ms": 1200, "service": "desk"},
+            {"name": "open", "host": "a.example", "path-prefix": "/open/", "type": "idempotent",
+             "timeout-ms": 1000, "service": "desk", "public": true}
+        ],
+        "services": [
+            {"name": "engine", "health-path": "/h", "max-connections": 9, "cold-start-s": 3.0, "cold-per-s": 36.0},
+            {"name": "desk", "health-path": "/h"}
+        ],
+        "tenants": [
+            {"name": "one", "api-keys": ["k1", "k2"], "priority": 0},
+            {"name": "two", "api-keys": ["k3"]}
+        ]
+    })
+}
+
+fn decode(document: &Value) -> Result<Raw, String> {
+    manifest::decode(document.to_string().as_bytes())
+}
+
+fn check(document: &Value) -> Result<Catalog, Error> {
+    Catalog::try_from(decode(document).unwrap())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let catalog = check(&document()).unwrap();
+    let name = |host: &str, path: &str| catalog.route(host, path).map(|r| r.name.clone());
+    assert_eq!(name("a.example", "/x/1").as_deref(), Some("notes"));
+    assert_eq!(name("A.example:80", "/x/orders/1").as_deref(), Some("orders"));
+    assert_eq!(name("a.example", "/x").as_deref(), None);
+    assert_eq!(name("b.example", "/x/1").as_deref(), None);
+}
+
+#[test]
+fn only_resumable_streams_and_idempotent_requests_are_repeated() {
+    let catalog = check(&document()).unwrap();
+    let repeat = |path: &str| catalog.route("a.example", path).unwrap().repeat;
+    assert_eq!(repeat("/x/1"), Repeat::Resumable);
+    assert_eq!(repeat("/x/orders/1"), Repeat::Once);
+    assert_eq!(repeat("/open/1"), Repeat::Idempotent);
+    let mut plain = document();
+    plain["routes"][0]["stream-resume"] = json!(false);
+    let catalog = check(&plain).unwrap();
+    assert_eq!(catalog.route("a.example", "/x/1").unwrap().repeat, Repeat::Once);
+}
+
+#[test]
+fn a_key_names_its_account() {
+    let catalog = check(&document()).unwrap();
+    let notes = catalog.route("a.example", "/x/1").unwrap();
+    let open = catalog.route("a.example", "/open/1").unwrap();
+    let account = |grant: Grant| match grant {
+        Grant::Account(account) => account.name.clone(),
+        other => format!("{other:?}"),
+    };
+    assert_eq!(account(catalog.grant(notes, Some("k3"))), "two");
+    assert_eq!(account(catalog.grant(notes, Some("k4"))), "Denied");
+    assert_eq!(account(catalog.grant(notes, None)), "Denied");
+    assert_eq!(account(catalog.grant(open, None)), "Public");
+    assert_eq!(account(catalog.grant(open, Some("k1"))), "one");
+}
+
+#[test]
+fn a_document_with_a_fault_is_refused_with_its_reason() {
+    let with = |change: &dyn Fn(&mut Value)| {
+        let mut changed = document();
+        change(&mut changed);
+        check(&changed).unwrap_err()
+    };
+    let unknown = with(&|d| d["routes"][1]["service"] = json!("none"));
+    assert!(matches!(unknown, Error::UnknownService { .. }));
+    let place = with(&|d| d["routes"][1]["path-prefix"] = json!("/x/"));
+    assert!(matches!(place, Error::SamePlace { .. }));
+    let weight = with(&|d| d["routes"][0]["traffic-split"] = json!([{"service": "desk", "weight": 0}]));
+    assert_eq!(weight, Error::NoWeight("notes".to_owned()));
+    let timeout = with(&|d| d["routes"][0]["timeout-ms"] = json!(0));
+    assert_eq!(timeout, Error::NoTimeout("notes".to_owned()));
+    let key = with(&|d| d["tenants"][1]["api-keys"] = json!(["k1"]));
+    assert!(matches!(key, Error::SharedKey { .. }));
+}
+
+#[test]
+fn a_cut_document_is_refused_with_the_path() {
+    let text = document().to_string();
+    for end in [1, text.len() / 2, text.len() - 1] {
+        assert!(manifest::decode(&text.as_bytes()[..end]).is_err());
+    }
+    let mut wrong = document();
+    wrong["routes"][0]["timeout-ms"] = json!("soon");
+    let reason = decode(&wrong).unwrap_err();
+    assert!(reason.contains("routes[0]"), "{reason}");
+    let mut extra = text.clone();
+    extra.push_str("{}");
+    assert!(manifest::decode(extra.as_bytes()).is_err());
+}
+
+#[test]
+fn a_catalog_survives_the_log() {
+    let raw = decode(&document()).unwrap();
+    let text = serde_json::to_string(&raw).unwrap();
+    assert_eq!(serde_json::from_str::<Raw>(&text).unwrap(), raw);
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_panic_the_decoders(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = manifest::decode(&bytes);
+        let _ = heatherramp::platform::beat::decode("vm", &bytes);
+        let _ = heatherramp::platform::beat::report(&bytes);
+    }
+}
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -426,7 +426,8 @@
     let voters = ["c1", "c2", "c3"].map(str::to_owned);
     let disk = first_disk(&voters);
     let restart = Restart {
-        hard: disk.hard,
+        // It has taken part in a term, so it may have heard that term's leader.
+        hard: Hard { term: 8, vote: None },
         snapshot: disk.snapshot,
         records: disk.records,
     };
@@ -462,3 +463,28 @@
     };
     assert!(granted.iter().any(is_grant), "{granted:?}");
 }
+
+/// A voter that acknowledged nothing in any term is in nobody's lease.
+#[test]
+fn a_voter_before_its_first_term_grants_at_once() {
+    let voters = ["c1", "c2", "c3"].map(str::to_owned);
+    let disk = first_disk(&voters);
+    let restart = Restart {
+        hard: disk.hard,
+        snapshot: disk.snapshot,
+        records: disk.records,
+    };
+    let start = Duration::from_secs(10);
+    let mut node = Node::new("c2", Timing::default(), restart, start, 1);
+    let vote = Event::Receive {
+        from: "c3".to_owned(),
+        message: Message::Vote {
+            term: 1,
+            pre: true,
+            transfer: false,
+            last_index: 0,
+            last_term: 0,
+        },
+    };
+    assert_eq!(node.step(start, vote).len(), 1);
+}
