fleet: a wiped controller is replaced at once, by any leader

Cause: a learner that had not answered yet counted as silent since the start of the leadership, was dropped in the next tick and never promoted; and only the leader that a wiped controller had asked knew that its old identity was dead.

--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -118,8 +118,8 @@
     /// VMs that were told to leave a dissolved group, with the time.
     pub(super) strays: BTreeMap<String, Duration>,
     pub(super) gateways: BTreeMap<String, Gateway>,
-    /// Identity that last asked to join from each address.
-    pub(super) asked: BTreeMap<String, String>,
+    /// When this leader first knew of each member.
+    pub(super) known: BTreeMap<String, Duration>,
     pub(super) leading_since: Option<Duration>,
     pub(super) targets: Vec<Target>,
     pub(super) closed: Vec<String>,
@@ -157,7 +157,7 @@
             staging: BTreeMap::new(),
             strays: BTreeMap::new(),
             gateways: BTreeMap::new(),
-            asked: BTreeMap::new(),
+            known: BTreeMap::new(),
             leading_since: None,
             targets: Vec::new(),
             closed: Vec::new(),
@@ -470,6 +470,7 @@
             self.progress.clear();
             self.staging.clear();
             self.strays.clear();
+            self.known.clear();
             self.gateways.clear();
             self.targets.clear();
             self.closed.clear();
--- a/src/domain/fleet/members.rs
+++ b/src/domain/fleet/members.rs
@@ -20,8 +20,6 @@
 impl Core {
     /// Admits a controller as a learner.
     pub(super) fn join(&mut self, now: Duration, identity: &str, out: &mut Vec<Action>) {
-        self.asked
-            .insert(address(identity).to_owned(), identity.to_owned());
         let (voters, learners) = self.node.journal().members();
         if voters.iter().chain(&learners).any(|m| m == identity) {
             return;
@@ -37,6 +35,11 @@
             return;
         }
         let (voters, learners) = self.node.journal().members();
+        self.known
+            .retain(|id, _| voters.contains(id) || learners.contains(id));
+        for id in voters.iter().chain(&learners) {
+            self.known.entry(id.clone()).or_insert(now);
+        }
         let wanted = self.timing.voters;
         let lost = |id: &String| self.is_replaced(id) || self.silence(now, id) > self.voter_lost();
         let lost_voter = voters.iter().find(|v| lost(v));
@@ -66,20 +69,26 @@
         Duration::from_millis(self.timing.voter_lost_ms)
     }
 
-    /// Whether another identity has asked from the same address.
+    /// Whether a later member has the same address: its disk was lost or exchanged.
+    ///
+    /// Members are listed in the order in which they joined, so any leader knows it.
     fn is_replaced(&self, identity: &str) -> bool {
-        self.asked
-            .get(address(identity))
-            .is_some_and(|current| current != identity)
+        let (voters, learners) = self.node.journal().members();
+        let mut later = voters
+            .iter()
+            .chain(&learners)
+            .skip_while(|m| *m != identity)
+            .skip(1);
+        later.any(|m| address(m) == address(identity))
     }
 
-    /// Time since the leader last heard of a member, at most its own time as leader.
+    /// Time since the leader last heard of a member, or since it first knew of it.
     fn silence(&self, now: Duration, identity: &str) -> Duration {
         if identity == self.node.id() {
             return Duration::ZERO;
         }
-        let since = self.leading_since.unwrap_or(now);
-        let heard = self.node.answered(identity).unwrap_or(since).max(since);
+        let known = self.known.get(identity).copied().unwrap_or(now);
+        let heard = self.node.answered(identity).unwrap_or(known).max(known);
         now.saturating_sub(heard)
     }
 }
--- a/src/fleet/join.rs
+++ b/src/fleet/join.rs
@@ -10,11 +10,11 @@
 use crate::logging;
 
 /// Interval between looks at the membership.
-const LOOK_EVERY: Duration = Duration::from_millis(300);
+const LOOK_EVERY: Duration = Duration::from_millis(150);
 /// Longest wait for one answer.
 const WAIT: Duration = Duration::from_millis(500);
 /// Looks without a leader after which the seeds are asked.
-const PATIENCE: u32 = 4;
+const PATIENCE: u32 = 8;
 
 /// Asks for admission whenever this process is no member or hears of no leader.
 ///
