--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -50,6 +50,8 @@
     pub model: Option<&'a str>,
     /// Targets that were tried already.
     pub tried: &'a [String],
+    /// Places of a target that are left to others.
+    pub reserve: u32,
 }
 
 /// Decision for a request.
@@ -161,7 +163,9 @@
             .filter(|s| !need.tried.contains(&s.target.id))
             .collect();
         let pool = if untried.is_empty() { pool } else { &untried };
-        let free = pool.iter().filter(|s| self.has_room(s) && s.is_warm(now));
+        let free = pool
+            .iter()
+            .filter(|s| self.has_room(s, need.reserve) && s.is_warm(now));
         let best = free.min_by(|a, b| self.score(a).total_cmp(&self.score(b)));
         match best {
             Some(slot) => Choice::Send {
@@ -272,8 +276,8 @@
     ///
     /// Near its limit all gateways see the same free slot before they see each other take it,
     /// so there each one keeps to its own part.
-    fn has_room(&self, slot: &Slot) -> bool {
-        let limit = self.limit(slot);
+    fn has_room(&self, slot: &Slot, reserve: u32) -> bool {
+        let limit = self.limit(slot).saturating_sub(reserve).max(1);
         let load = slot.load();
         if load >= limit || slot.target.model.is_none() {
             return load < limit;
--- a/src/domain/gateway/mod.rs
+++ b/src/domain/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod demand;
 mod events;
+mod patience;
 mod settings;
 
 pub use balance::Balancer;
@@ -15,4 +16,7 @@
 pub use demand::work;
 pub use events::Event;
 pub use events::Splitter;
+pub use patience::Patience;
+pub use patience::come_back;
+pub use patience::patience;
 pub use settings::Settings;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -29,6 +29,9 @@
 use crate::domain::gateway::Demand;
 use crate::domain::gateway::Need;
 use crate::domain::gateway::Outcome;
+use crate::domain::gateway::Patience;
+use crate::domain::gateway::come_back;
+use crate::domain::gateway::patience;
 use crate::domain::gateway::work;
 use crate::logging;
 use crate::platform::header as wire;
@@ -39,10 +42,6 @@
 const OVERDUE_GOALS: u32 = 4;
 /// Shortest time after which a first event counts as overdue.
 const OVERDUE_LEAST: Duration = Duration::from_millis(1_200);
-/// Least time to come back after a refusal: shorter ones meet the same load.
-const BACK_LEAST_MS: u64 = 150;
-/// Spread of the times to come back, so that refused callers do not return together.
-const BACK_SPREAD_MS: u64 = 600;
 /// Least time for which a send is worth its cost.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 
@@ -204,8 +203,13 @@
 
     /// Waits for room at a target, as long as the objective allows.
     async fn choose(&self) -> Result<Target, (&'static str, Duration)> {
-        let goal = Duration::from_millis(self.request.route.goal_ms);
-        let patience = goal.mul_f64(self.context.settings.wait_part);
+        let route = &self.request.route;
+        let Patience { wait, reserve } = patience(
+            &self.context.settings,
+            Duration::from_millis(route.goal_ms),
+            Duration::from_millis(route.timeout_ms),
+            self.request.deadline.saturating_sub(self.request.started),
+        );
         let from = clock::now();
         loop {
             let room = self.context.room.notified();
@@ -215,6 +219,7 @@
                     service: self.service,
                     model: self.request.model.as_deref(),
                     tried: &self.tried,
+                    reserve,
                 },
             );
             let waited = clock::now() - from;
@@ -225,10 +230,10 @@
                     return Ok(target);
                 }
                 Choice::Nothing => return Err(("no target serves this", Duration::from_millis(500))),
-                Choice::Full(after) if waited >= patience => return Err(("all targets are full", after)),
+                Choice::Full(after) if waited >= wait => return Err(("all targets are full", after)),
                 Choice::Full(_) => {
                     // The end of the wait is the next look.
-                    let _ = timeout(patience - waited, room).await;
+                    let _ = timeout(wait - waited, room).await;
                 }
             }
         }
@@ -358,8 +363,7 @@
     }
 
     fn refuse(&self, reason: &str, after: Duration) -> Response<Body> {
-        let spread = rand::random_range(0..BACK_SPREAD_MS);
-        let back = after + Duration::from_millis(BACK_LEAST_MS + spread);
+        let back = come_back(after, rand::random());
         self.context.metrics.refusals.with_label_values(&[reason]).inc();
         logging::REQUEST_REFUSED.write(&[
             ("request", self.request.id.as_str().into()),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -223,6 +223,7 @@
                 service: &self.service,
                 model: self.request.model.as_deref(),
                 tried: &self.tried,
+                reserve: 0,
             };
             let choice = context.balancer().choose(now, &need);
             let Choice::Send { target, load } = choice else {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -13,6 +13,8 @@
 use heatherramp::domain::gateway::Outcome;
 use heatherramp::domain::gateway::Settings;
 use heatherramp::domain::gateway::Splitter;
+use heatherramp::domain::gateway::come_back;
+use heatherramp::domain::gateway::patience;
 use proptest::prelude::*;
 
 fn service(cold_rate: f64) -> Service {
@@ -53,6 +55,7 @@
         service,
         model: Some("large"),
         tried,
+        reserve: 0,
     }
 }
 
@@ -233,3 +236,34 @@
 fn settings_window() -> Duration {
     Duration::from_secs_f64(Settings::default().retry_window_s)
 }
+
+/// A burst: callers that came back wait longer, but leave the last place to those in time.
+#[test]
+fn returned_callers_wait_longer_and_behind_those_in_time() {
+    let settings = Settings::default();
+    let (goal, timeout) = (ms(300), ms(6_000));
+    let fresh = patience(&settings, goal, timeout, timeout);
+    let back = patience(&settings, goal, timeout, ms(5_000));
+    assert!(fresh.wait < goal / 4, "a refusal comes at once");
+    assert!(back.wait > fresh.wait * 10 && back.wait <= ms(1_500));
+    let service = service(0.0);
+    let mut balancer = Balancer::new("z1", Settings::default());
+    let mut table = table(vec![target("a", "z1")]);
+    table.share = 1.0;
+    balancer.update(&table);
+    for _ in 0..9 {
+        balancer.start(ms(1), "a", &service);
+    }
+    let mut need = need(&service, &[]);
+    need.reserve = back.reserve;
+    assert!(matches!(balancer.choose(ms(1), &need), Choice::Full(_)));
+    need.reserve = fresh.reserve;
+    assert!(matches!(balancer.choose(ms(1), &need), Choice::Send { .. }));
+}
+
+#[test]
+fn refused_callers_do_not_return_together() {
+    let times: Vec<Duration> = (0..10).map(|i| come_back(ms(0), f64::from(i) / 10.0)).collect();
+    assert!(times.windows(2).all(|w| w[0] < w[1]));
+    assert!(times[9] - times[0] > ms(500));
+}
