--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -9,6 +9,7 @@
 use super::client::Client;
 use super::demo;
 use super::environment;
+use super::explain;
 use super::keys;
 use super::standin;
 use super::status;
@@ -44,6 +45,7 @@
         .subcommand(zone::command())
         .subcommand(status::command())
         .subcommand(status::voter_command())
+        .subcommand(explain::command())
         .subcommand(keys::command())
         .subcommand(standin::command())
         .subcommand(crate::bench::command())
@@ -61,6 +63,7 @@
         Some(("zone", sub)) => zone::run(&client(matches), sub, is_json(matches)).await,
         Some(("status", _)) => status::run(&client(matches), is_json(matches)).await,
         Some(("voter", sub)) => status::run_voter(&client(matches), sub).await,
+        Some(("explain", sub)) => explain::run(sub),
         Some(("keys", sub)) => keys::run(sub),
         Some(("standin", sub)) => standin::run(sub).await,
         Some(("bench", sub)) => crate::bench::run(sub).await,
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,51 @@
+//! `heatherramp explain`: what became of one request.
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+
+use super::Error;
+use crate::logging::story;
+
+/// Command line of `explain`.
+pub(super) fn command() -> Command {
+    Command::new("explain")
+        .about("Print what the logs of all processes say of one request")
+        .arg(
+            Arg::new("request")
+                .required(true)
+                .help("Identifier of the request"),
+        )
+        .arg(
+            Arg::new("files")
+                .required(true)
+                .action(ArgAction::Append)
+                .num_args(1..)
+                .help("Log files"),
+        )
+}
+
+/// Runs `explain`.
+pub(super) fn run(matches: &ArgMatches) -> Result<(), Error> {
+    let request = matches.get_one::<String>("request").expect("required");
+    let mut logs = String::new();
+    for file in matches.get_many::<String>("files").into_iter().flatten() {
+        let bytes = std::fs::read(file).map_err(|e| Error::Input(format!("{file}: {e}")))?;
+        logs.push_str(&String::from_utf8_lossy(&bytes));
+        logs.push('\n');
+    }
+    let story = story(request, logs.lines());
+    let Some(first) = story.first() else {
+        return Err(Error::Input(format!("no line names the request {request}")));
+    };
+    let start = first.at_ms;
+    for line in &story {
+        let after = line.at_ms - start;
+        println!(
+            "{after:>6} ms  {:<22} {:<18} {}",
+            line.process, line.event, line.fields
+        );
+    }
+    Ok(())
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod environment;
 mod error;
+mod explain;
 mod keys;
 mod site;
 mod standin;
--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -7,11 +7,14 @@
 mod event;
 mod json;
 mod queue;
+mod story;
 
 pub use catalogue::*;
 pub use event::Event;
 pub use json::start_json;
 pub use queue::Queue;
+pub use story::Line;
+pub use story::story;
 
 /// Starts logging to standard error.
 pub fn start() {
--- /dev/null
+++ b/tests/logs.rs
@@ -0,0 +1,83 @@
+//! Logs: a stalled reader, dropped lines, and the way from a request to its cause.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use heatherramp::logging::Queue;
+use heatherramp::logging::story;
+
+/// Reader that takes nothing until it is let go.
+#[derive(Clone, Default)]
+struct Stalled(Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>);
+
+impl Write for Stalled {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let (state, change) = &*self.0;
+        let mut state = change.wait_while(state.lock().unwrap(), |s| !s.0).unwrap();
+        state.1.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_stalled_reader_costs_lines_and_says_how_many() {
+    let out = Stalled::default();
+    let mut queue = Queue::new(out.clone());
+    for i in 0..20_000 {
+        writeln!(queue, "line {i}").unwrap();
+    }
+    assert!(queue.dropped() > 0);
+    let (state, change) = &*out.0;
+    state.lock().unwrap().0 = true;
+    change.notify_all();
+    let started = Instant::now();
+    loop {
+        let text = String::from_utf8(state.lock().unwrap().1.clone()).unwrap();
+        if text.contains("lines_dropped") && text.contains("line 0\n") {
+            return;
+        }
+        assert!(
+            started.elapsed() < Duration::from_secs(20),
+            "no count of dropped lines"
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+const LOGS: &str = r#"
+ 1.0 edge-1 {"at_ms":1000,"event":"request_sent","process":"edge-1","request":"a","target":"vm1","load":3}
+ 1.1 edge-1 {"at_ms":1100,"event":"request_sent","process":"edge-1","request":"b","target":"vm1","load":4}
+ 2.0 edge-1 {"at_ms":2000,"event":"send_failed","process":"edge-1","request":"a","target":"vm1","reason":"no answer in time"}
+ 0.9 core-1 {"at_ms":900,"event":"vm_ordered","process":"core-1","vm":"vm1","group":7,"task":"Open"}
+ 2.1 core-1 {"at_ms":2100,"event":"group_lost","process":"core-1","group":7,"loss":"Silent","vm":"vm2"}
+ 2.2 core-1 {"at_ms":2200,"event":"group_lost","process":"core-1","group":8,"loss":"Silent","vm":"vm3"}
+ 9.9 core-1 {"at_ms":99000,"event":"group_opened","process":"core-1","group":7}
+ not a line of the log
+"#;
+
+#[test]
+fn the_story_of_a_request_names_the_loss_behind_it() {
+    let story = story("a", LOGS.lines());
+    let events: Vec<(u64, &str)> = story.iter().map(|l| (l.at_ms, l.event.as_str())).collect();
+    let expected = [
+        (900, "vm_ordered"),
+        (1_000, "request_sent"),
+        (2_000, "send_failed"),
+        (2_100, "group_lost"),
+    ];
+    assert_eq!(events, expected);
+    assert!(story[3].fields.contains("loss=Silent"));
+}
+
+#[test]
+fn an_unknown_request_has_no_story() {
+    assert!(story("z", LOGS.lines()).is_empty());
+}
