--- a/src/domain/gateway/patience.rs
+++ b/src/domain/gateway/patience.rs
@@ -2,23 +2,22 @@
 //!
 //! Answers the load of a burst: more requests than all groups can serve in time. A request
 //! whose objective can still be met waits a small part of it and is then refused at once. A
-//! caller that came back after a refusal has missed its objective already, so it loses
-//! nothing by waiting longer, behind those that have not.
+//! caller that came back after a refusal has missed its objective already, so it leaves the
+//! last places to those that have not. Long waits of such callers were tried and took the
+//! places of more requests in time than they served.
 
 use std::time::Duration;
 
 use super::Settings;
 
-/// Part of the time left that a returned caller's request may wait.
-const RETURNED_PART: f64 = 0.25;
-/// Longest wait of a returned caller's request: one answer of an engine takes about as long.
-const RETURNED_MOST: Duration = Duration::from_millis(1_500);
+/// Places of a target that a returned caller leaves free.
+const RETURNED_RESERVE: u32 = 1;
 /// Shortfall of a caller's deadline against the route's that shows a return.
 const RETURNED_LACK: Duration = Duration::from_millis(100);
 /// Least time to come back: sooner ones meet the same load.
-const BACK_LEAST: Duration = Duration::from_millis(250);
+const BACK_LEAST: Duration = Duration::from_millis(150);
 /// Spread of the times to come back, so that refused callers do not return together.
-const BACK_SPREAD: Duration = Duration::from_millis(1_000);
+const BACK_SPREAD: Duration = Duration::from_millis(600);
 
 /// What a request may spend on waiting.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -32,15 +31,9 @@
 /// Patience of a request with `left` of the route's `timeout` at its start.
 pub fn patience(settings: &Settings, goal: Duration, timeout: Duration, left: Duration) -> Patience {
     let has_returned = left + RETURNED_LACK < timeout;
-    if !has_returned {
-        return Patience {
-            wait: goal.mul_f64(settings.wait_part),
-            reserve: 0,
-        };
-    }
     Patience {
-        wait: left.mul_f64(RETURNED_PART).min(RETURNED_MOST),
-        reserve: 1,
+        wait: goal.mul_f64(settings.wait_part),
+        reserve: if has_returned { RETURNED_RESERVE } else { 0 },
     }
 }
 
