--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -28,6 +28,12 @@
 /// Time to come back after a refusal for want of a controller or a target.
 const COME_BACK: Duration = Duration::from_millis(400);
 
+/// Why a request is not passed on.
+struct Refusal {
+    status: StatusCode,
+    reason: &'static str,
+}
+
 /// Answers one request.
 pub(super) async fn handle(context: Arc<Context>, request: http::Request<Incoming>) -> Response<Body> {
     let started = clock::now();
@@ -36,16 +42,19 @@
         .to_owned();
     match check(&context, &id, started, request).await {
         Ok(request) => attempt::run(context, request).await,
-        Err(response) => {
-            let status = response.status();
-            let label = status.as_str().to_owned();
-            context.metrics.refusals.with_label_values(&[&label]).inc();
+        Err(refusal) => {
+            let Refusal { status, reason } = refusal;
+            context.metrics.refusals.with_label_values(&[reason]).inc();
             logging::REQUEST_REFUSED.write(&[
                 ("request", id.as_str().into()),
                 ("status", u64::from(status.as_u16()).into()),
-                ("stage", "checks".into()),
+                ("reason", reason.into()),
+                ("version", context.version().into()),
             ]);
-            response
+            match status {
+                StatusCode::SERVICE_UNAVAILABLE => answer::refused(reason, COME_BACK),
+                status => answer::own(status, reason),
+            }
         }
     }
 }
@@ -55,35 +64,31 @@
     id: &str,
     started: Duration,
     request: http::Request<Incoming>,
-) -> Result<Request, Response<Body>> {
+) -> Result<Request, Refusal> {
+    let refuse = |status, reason| Err(Refusal { status, reason });
     let Some(catalog) = context.catalog() else {
-        return Err(answer::refused("no configuration in force", COME_BACK));
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration in force");
     };
     let (head, body) = request.into_parts();
     let host = text(&head.headers, header::HOST.as_str()).unwrap_or_default();
     let Some(route) = catalog.route(host, head.uri.path()).cloned() else {
-        return Err(answer::own(StatusCode::NOT_FOUND, "no route"));
+        return refuse(StatusCode::NOT_FOUND, "no route");
     };
     let account = match catalog.grant(&route, bearer(&head.headers)) {
         Grant::Account(account) => Some(account.name.clone()),
         Grant::Public => None,
-        Grant::Denied => return Err(answer::own(StatusCode::UNAUTHORIZED, "unknown key")),
+        Grant::Denied => return refuse(StatusCode::UNAUTHORIZED, "unknown key"),
     };
     let limits = &catalog.raw().limits;
     if head_size(&head.headers) > limits.head_bytes {
-        return Err(answer::own(
+        return refuse(
             StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             "the request head is too large",
-        ));
+        );
     }
     let body = match Limited::new(body, limits.body_bytes).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(_) => {
-            return Err(answer::own(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is too large or cut",
-            ));
-        }
+        Err(_) => return refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or cut"),
     };
     let service = share(&route);
     let path = head.uri.path_and_query().cloned();
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -74,6 +74,12 @@
         catalog.clone().filter(|_| is_valid)
     }
 
+    /// Version of the latest catalog, 0 for none.
+    pub(super) fn version(&self) -> u64 {
+        let catalog = self.catalog.lock().expect("no panic under this lock");
+        catalog.as_ref().map_or(0, |c| c.version())
+    }
+
     pub(super) fn set_catalog(&self, catalog: Arc<Catalog>) {
         *self.catalog.lock().expect("no panic under this lock") = Some(catalog);
     }
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -10,15 +10,22 @@
 use heatherramp::logging::Queue;
 use heatherramp::logging::story;
 
+/// Whether the reader takes bytes, and those that it took.
+#[derive(Default)]
+struct Taken {
+    is_open: bool,
+    bytes: Vec<u8>,
+}
+
 /// Reader that takes nothing until it is let go.
 #[derive(Clone, Default)]
-struct Stalled(Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>);
+struct Stalled(Arc<(Mutex<Taken>, Condvar)>);
 
 impl Write for Stalled {
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
         let (state, change) = &*self.0;
-        let mut state = change.wait_while(state.lock().unwrap(), |s| !s.0).unwrap();
-        state.1.extend_from_slice(bytes);
+        let mut state = change.wait_while(state.lock().unwrap(), |s| !s.is_open).unwrap();
+        state.bytes.extend_from_slice(bytes);
         Ok(bytes.len())
     }
 
@@ -36,11 +43,11 @@
     }
     assert!(queue.dropped() > 0);
     let (state, change) = &*out.0;
-    state.lock().unwrap().0 = true;
+    state.lock().unwrap().is_open = true;
     change.notify_all();
     let started = Instant::now();
     loop {
-        let text = String::from_utf8(state.lock().unwrap().1.clone()).unwrap();
+        let text = String::from_utf8(state.lock().unwrap().bytes.clone()).unwrap();
         if text.contains("lines_dropped") && text.contains("line 0\n") {
             return;
         }
