--- a/src/fleet/web.rs
+++ b/src/fleet/web.rs
@@ -21,8 +21,8 @@
 use crate::domain::fleet::Event;
 use crate::domain::fleet::members;
 use crate::logging;
-use crate::platform::beat;
-use crate::platform::manifest;
+use crate::platform::configuration;
+use crate::platform::heartbeat;
 use crate::platform::path;
 
 /// Largest document or heartbeat, in bytes.
@@ -73,7 +73,7 @@
                 zone: zone.to_owned(),
                 out: false,
             },
-            path::Call::Beat(id) => match beat::decode(id, &body) {
+            path::Call::Heartbeat(id) => match heartbeat::decode(id, &body) {
                 Ok(announcement) => return self.announce(announcement).await,
                 Err(reason) => {
                     logging::HEARTBEAT_REFUSED
@@ -99,7 +99,7 @@
                     .client
                     .leader()
                     .map_or(self.own, |l| SocketAddr::new(l.ip(), self.port));
-                reply(StatusCode::OK, beat::answer(leader))
+                reply(StatusCode::OK, heartbeat::answer(leader))
             }
             _ => reply(StatusCode::SERVICE_UNAVAILABLE, "no leader in reach"),
         }
@@ -126,7 +126,7 @@
 }
 
 fn decode_catalog(body: &[u8]) -> Result<Call, String> {
-    let raw = manifest::decode(body)?;
+    let raw = configuration::decode(body)?;
     Catalog::try_from(raw.clone()).map_err(|e| e.to_string())?;
     let text = String::from_utf8(body.to_vec()).map_err(|e| e.to_string())?;
     Ok(Call::Adopt {
--- a/src/platform/manifest.rs
+++ b/src/platform/configuration.rs
@@ -28,9 +28,12 @@
     timeout_ms: u64,
     target_latency_ms: Option<f64>,
     target_gap_ms: Option<f64>,
+    // Rank; 0 is the most urgent.
     priority: Option<u8>,
+    // The only service, where there is no split.
     service: Option<String>,
     traffic_split: Option<Vec<Split>>,
+    // Upstreams to which one request may be sent.
     max_attempts: Option<u32>,
     public: Option<bool>,
     stream_resume: Option<bool>,
@@ -56,6 +59,7 @@
 #[derive(Deserialize)]
 struct Engine {
     slots: u32,
+    // Token steps of one pass.
     stride: u32,
     #[serde(rename = "model-list")]
     model_list: Vec<Model>,
@@ -65,6 +69,7 @@
     #[serde(rename = "loads-per-s")]
     loads_per_s: f64,
     loads_at_once: usize,
+    // Mean request.
     usual: Usual,
     #[serde(rename = "group-open-ms", default)]
     group_open_ms: f64,
--- a/src/platform/beat.rs
+++ b/src/platform/heartbeat.rs
@@ -1,4 +1,4 @@
-//! Heartbeats and state reports of upstreams.
+//! Heartbeats of upstreams.
 
 use serde::Deserialize;
 
@@ -8,7 +8,7 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
-struct Beat {
+struct Heartbeat {
     service: String,
     address: String,
     zone: String,
@@ -21,24 +21,20 @@
     sequence: u64,
     // Start of the incarnation, Unix milliseconds.
     born: Option<u64>,
+    // Fabric domain; a number or a name.
     domain: Option<serde_json::Value>,
+    // Models staged on the host; names, or objects with a name.
     preloaded: Option<Vec<serde_json::Value>>,
     group: Option<Group>,
 }
 
-#[derive(Deserialize)]
-struct Report {
-    born: Option<u64>,
-    group: Option<Group>,
-    preloaded: Option<Vec<serde_json::Value>>,
-}
-
 #[derive(Deserialize)]
 struct Group {
     name: String,
     epoch: u64,
     // Place in the member list; 0 is the head.
     rank: Option<u64>,
+    // Stage of the membership; not the phase of the upstream.
     phase: String,
 }
 
@@ -49,29 +45,29 @@
 /// The path and reason of the first field that cannot be read.
 pub fn decode(id: &str, body: &[u8]) -> Result<Announcement, String> {
     let mut json = serde_json::Deserializer::from_slice(body);
-    let beat: Beat =
+    let heartbeat: Heartbeat =
         serde_path_to_error::deserialize(&mut json).map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
-    let draining = match beat.phase.as_str() {
+    let draining = match heartbeat.phase.as_str() {
         "ready" => false,
         "draining" => true,
         other => return Err(format!("phase: no phase {other}")),
     };
-    if beat.address.parse::<std::net::SocketAddr>().is_err() {
+    if heartbeat.address.parse::<std::net::SocketAddr>().is_err() {
         return Err("address: not an address".to_owned());
     }
     Ok(Announcement {
         id: id.to_owned(),
-        incarnation: beat.born.unwrap_or(0),
-        sequence: beat.sequence,
-        service: beat.service,
-        address: beat.address,
-        zone: beat.zone,
-        domain: beat.domain.map(text).unwrap_or_default(),
-        slots: beat.slots,
+        incarnation: heartbeat.born.unwrap_or(0),
+        sequence: heartbeat.sequence,
+        service: heartbeat.service,
+        address: heartbeat.address,
+        zone: heartbeat.zone,
+        domain: heartbeat.domain.map(text).unwrap_or_default(),
+        slots: heartbeat.slots,
         draining,
-        cold_ms: beat.cold_remaining_ms.max(0.0) as u64,
-        staged: names(beat.preloaded),
-        membership: beat.group.map(membership).transpose()?,
+        cold_ms: heartbeat.cold_remaining_ms.max(0.0) as u64,
+        staged: names(heartbeat.preloaded),
+        membership: heartbeat.group.map(membership).transpose()?,
     })
 }
 
@@ -80,17 +76,6 @@
     serde_json::json!({ "heartbeat-endpoint": address.to_string() }).to_string()
 }
 
-/// Decodes what an upstream says of its group in a state report.
-///
-/// # Errors
-///
-/// The reason for which the report cannot be read.
-pub fn report(body: &[u8]) -> Result<(u64, Vec<String>, Option<Membership>), String> {
-    let report: Report = serde_json::from_slice(body).map_err(|e| e.to_string())?;
-    let group = report.group.map(membership).transpose()?;
-    Ok((report.born.unwrap_or(0), names(report.preloaded), group))
-}
-
 fn membership(group: Group) -> Result<Membership, String> {
     let stage = match group.phase.as_str() {
         "joining" => Stage::Joining,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,8 +3,8 @@
 //! Everything here translates between the platform's wire forms and the product's
 //! own types; nothing here decides, and nothing outside knows the wire names.
 
-pub mod beat;
+pub mod configuration;
 pub mod header;
-pub mod manifest;
+pub mod heartbeat;
 pub mod order;
 pub mod path;
--- a/src/platform/order.rs
+++ b/src/platform/order.rs
@@ -8,8 +8,6 @@
 
 /// Path that takes orders.
 pub const PATH: &str = "/order";
-/// Path of the state report.
-pub const REPORT_PATH: &str = "/report";
 
 /// Body of an order.
 pub fn encode(order: &Order) -> Vec<u8> {
--- a/src/platform/path.rs
+++ b/src/platform/path.rs
@@ -5,8 +5,8 @@
 /// Call of an upstream or an operator.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Call<'a> {
-    /// An upstream reports itself; holds its identifier.
-    Beat(&'a str),
+    /// Heartbeat of the upstream with this identifier.
+    Heartbeat(&'a str),
     /// An upstream is gone.
     Leave(&'a str),
     /// A new configuration.
@@ -32,7 +32,7 @@
     }
     if let Some(id) = path.strip_prefix("/replicas/") {
         return match *method {
-            Method::PUT => Call::Beat(id),
+            Method::PUT => Call::Heartbeat(id),
             Method::DELETE => Call::Leave(id),
             _ => Call::Unknown,
         };
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -5,7 +5,7 @@
 use heatherramp::domain::catalog::Grant;
 use heatherramp::domain::catalog::Raw;
 use heatherramp::domain::catalog::Repeat;
-use heatherramp::platform::manifest;
+use heatherramp::platform::configuration;
 use proptest::prelude::*;
 use serde_json::Value;
 use serde_json::json;
@@ -35,7 +35,7 @@
 }
 
 fn decode(document: &Value) -> Result<Raw, String> {
-    manifest::decode(document.to_string().as_bytes())
+    configuration::decode(document.to_string().as_bytes())
 }
 
 fn check(document: &Value) -> Result<Catalog, Error> {
@@ -104,7 +104,7 @@
 fn a_cut_document_is_refused_with_the_path() {
     let text = document().to_string();
     for end in [1, text.len() / 2, text.len() - 1] {
-        assert!(manifest::decode(&text.as_bytes()[..end]).is_err());
+        assert!(configuration::decode(&text.as_bytes()[..end]).is_err());
     }
     let mut wrong = document();
     wrong["routes"][0]["timeout-ms"] = json!("soon");
@@ -112,7 +112,7 @@
     assert!(reason.contains("routes[0]"), "{reason}");
     let mut extra = text.clone();
     extra.push_str("{}");
-    assert!(manifest::decode(extra.as_bytes()).is_err());
+    assert!(configuration::decode(extra.as_bytes()).is_err());
 }
 
 #[test]
@@ -125,8 +125,7 @@
 proptest! {
     #[test]
     fn no_bytes_panic_the_decoders(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
-        let _ = manifest::decode(&bytes);
-        let _ = heatherramp::platform::beat::decode("vm", &bytes);
-        let _ = heatherramp::platform::beat::report(&bytes);
+        let _ = configuration::decode(&bytes);
+        let _ = heatherramp::platform::heartbeat::decode("vm", &bytes);
     }
 }
