gateway: a stopping process refuses what it could not finish

Ruled out: the balancer (the connections were open). tests/gateway.rs a_stopping_gateway_cuts_off_nothing_that_it_took fails before.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -66,6 +66,9 @@
     request: http::Request<Incoming>,
 ) -> Result<Request, Refusal> {
     let refuse = |status, reason| Err(Refusal { status, reason });
+    if context.is_closed() {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
+    }
     let Some(catalog) = context.catalog() else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration in force");
     };
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -40,6 +40,8 @@
     confirmed_ms: AtomicU64,
     has_targets: AtomicBool,
     draining: AtomicBool,
+    /// Time from which a draining gateway takes no more requests, in milliseconds.
+    closes_ms: AtomicU64,
     lease: Duration,
 }
 
@@ -63,6 +65,7 @@
             confirmed_ms: AtomicU64::new(0),
             has_targets: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            closes_ms: AtomicU64::new(u64::MAX),
             lease: revocation.saturating_sub(LEASE_MARGIN),
         }
     }
@@ -103,10 +106,17 @@
         self.draining.load(Ordering::Relaxed)
     }
 
-    pub(super) fn drain(&self) {
+    /// Withdraws readiness now, and takes no more requests from `closes` on.
+    pub(super) fn drain(&self, closes: Duration) {
+        self.closes_ms.store(closes.as_millis() as u64, Ordering::Relaxed);
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Whether a request would outlast this process.
+    pub(super) fn is_closed(&self) -> bool {
+        clock::now().as_millis() as u64 >= self.closes_ms.load(Ordering::Relaxed)
+    }
+
     pub(super) fn balancer(&self) -> MutexGuard<'_, Balancer> {
         self.balancer.lock().expect("no panic under this lock")
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -29,6 +29,9 @@
 /// Time in which the balancer has noticed that this gateway is not ready: two questions
 /// a second apart, and the connections that were on their way.
 const NOTICED: Duration = Duration::from_millis(3_200);
+/// Part of the grace period in which requests are still taken: the balancer has noticed by
+/// then, and what was taken has the rest to end.
+const ACCEPT_PART: f64 = 0.36;
 /// Part of the grace period that is left for the end of the process.
 const LEFT: Duration = Duration::from_millis(400);
 /// Interval between looks at the connections that are still open.
@@ -92,7 +95,7 @@
             ("program", "gateway".into()),
             ("connections", (self.server.open_connections() as u64).into()),
         ]);
-        self.context.drain();
+        self.context.drain(started + self.grace.mul_f64(ACCEPT_PART));
         self.server.close_after_answers();
         let latest = started + self.grace.saturating_sub(LEFT);
         loop {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -40,6 +40,8 @@
     seen: Vec<(String, HashMap<String, String>)>,
     /// Cut the next stream after this many events.
     cut_after: Option<u64>,
+    /// Pause between events, in milliseconds.
+    pause_ms: Option<u64>,
 }
 
 /// Stand-in VM: takes orders, sends heartbeats, answers with ten events or a whole body.
@@ -129,10 +131,10 @@
         .headers
         .iter()
         .map(|(k, v)| (k.to_string(), v.to_str().unwrap().to_owned()));
-    let cut_after = {
+    let (cut_after, pause_ms) = {
         let mut state = state.lock().unwrap();
         state.seen.push((head.uri.to_string(), headers.collect()));
-        state.cut_after.take()
+        (state.cut_after.take(), state.pause_ms.unwrap_or(5))
     };
     let mut response = if head.uri.path().starts_with("/notes/") {
         let (sender, receiver) = mpsc::channel(4);
@@ -147,7 +149,7 @@
                 }
                 let text = format!("id: {event}\ndata: piece {event}\n\n");
                 let _ = sender.send(Ok(Bytes::from(text))).await;
-                tokio::time::sleep(Duration::from_millis(5)).await;
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
         });
         Response::new(Body::Parts(receiver))
@@ -241,7 +243,7 @@
         }
         let settings = json!({
             "name": "g1", "availability_zone": "z1", "listen": gateway, "listen_status": status,
-            "seeds": site.controllers, "peer_port": peer, "keys": site.keys(),
+            "seeds": site.controllers, "peer_port": peer, "keys": site.keys(), "grace_s": 4.0,
         });
         site.spawn("gateway", env!("CARGO_BIN_EXE_heatherramp-gateway"), &settings);
         site
@@ -471,3 +473,61 @@
         200
     );
 }
+
+/// Callers use what connections they find until the process is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopping_gateway_cuts_off_nothing_that_it_took() {
+    let site = Site::start(74);
+    for i in 0..2 {
+        let vm = Vm::start(&format!("vm{i}"), "engine", site.controllers.clone()).await;
+        vm.state.lock().unwrap().pause_ms = Some(100);
+    }
+    site.operate("PUT", "/configuration", &document(3)).await.unwrap();
+    let bearer = format!("Bearer {KEY}");
+    site.ask_until("/notes/0", &[("authorization", &bearer)], 200)
+        .await;
+    let pid = site.processes.last().unwrap().1.id();
+    let killed = Command::new("kill").args(["-TERM", &pid.to_string()]).status();
+    assert!(killed.unwrap().success());
+    let started = Instant::now();
+    let mut asked = Vec::new();
+    while started.elapsed() < Duration::from_millis(4_500) {
+        let (gateway, bearer) = (site.gateway, bearer.clone());
+        asked.push(tokio::spawn(async move {
+            let request = Request::builder()
+                .method("POST")
+                .uri("/notes/1")
+                .header("host", "a.example")
+                .header("x-attempt-id", "a1")
+                .header("x-model", "model")
+                .header("x-deadline-ms", "4000")
+                .header("authorization", bearer)
+                .body(Full::new(Bytes::from_static(b"body")))
+                .unwrap();
+            let client = http1::Client::default();
+            match client.send(gateway, request, true).await {
+                Err(http1::Failure::Unsent) => None,
+                Err(http1::Failure::Unknown) => Some((0, Vec::new())),
+                Ok((response, _link)) => {
+                    let status = response.status().as_u16();
+                    let body = response.into_body().collect().await.map(|b| b.to_bytes());
+                    Some((status, body.map(|b| events(&b)).unwrap_or_default()))
+                }
+            }
+        }));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let (mut whole, mut refused) = (0, 0);
+    for answer in asked {
+        match answer.await.unwrap() {
+            Some((200, ids)) => {
+                assert_eq!(ids, (1..=10).collect::<Vec<u64>>(), "cut off");
+                whole += 1;
+            }
+            Some((503, _)) => refused += 1,
+            None => {}
+            other => panic!("an answer that is none: {other:?}"),
+        }
+    }
+    assert!(whole >= 3 && refused >= 3, "{whole} whole, {refused} refused");
+}
