fleet, gateway: what stood twice stands once; large files split

No change of behaviour is meant. One error and one registry of metrics serve all four daemons (each had its own copy), the queue to a peer is QUIC's, the seeds' peer addresses are a setting's method (written out four times).

--- a/src/adapters/quic/pool.rs
+++ b/src/adapters/quic/pool.rs
@@ -11,6 +11,7 @@
 use quinn::Connection;
 use quinn::Endpoint;
 use quinn::RecvStream;
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use super::Error;
@@ -97,6 +98,14 @@
         self.send(&connection, request).await
     }
 
+    /// Sends requests from a queue, whose loss is allowed, until it ends.
+    pub async fn deliver(self, address: String, mut queue: mpsc::Receiver<wire::Request>) {
+        while let Some(request) = queue.recv().await {
+            // Opening may fail while the peer is away; whoever depends on it sends again.
+            let _ = self.open(&address, request).await;
+        }
+    }
+
     async fn send(
         &self,
         connection: &Connection,
--- a/src/control/messenger.rs
+++ b/src/control/messenger.rs
@@ -29,7 +29,7 @@
         let mut queues = HashMap::new();
         for peer in peers {
             let (sender, receiver) = mpsc::channel(QUEUE);
-            tokio::spawn(deliver(pool.clone(), peer.address.clone(), receiver));
+            tokio::spawn(pool.clone().deliver(peer.address.clone(), receiver));
             queues.insert(peer.name.clone(), sender);
         }
         Messenger {
@@ -68,10 +68,3 @@
         });
     }
 }
-
-async fn deliver(pool: Pool, address: String, mut queue: mpsc::Receiver<wire::Request>) {
-    while let Some(request) = queue.recv().await {
-        // Opening may fail while the peer is away; consensus sends again.
-        let _ = pool.open(&address, request).await;
-    }
-}
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use prometheus::IntGauge;
-use prometheus::Registry;
 
+use crate::daemon::Registry;
 use crate::domain::control::Core;
 
 /// Gauges that the driver updates after each tick.
@@ -23,12 +23,8 @@
 impl Metrics {
     /// Registered gauges.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(format!("heatherramp_{name}"), help).expect("a legal name");
-            registry.register(Box::new(gauge.clone())).expect("a unique name");
-            gauge
-        };
+        let registry = Registry::new("heatherramp");
+        let gauge = |name: &str, help: &str| registry.gauge(name, help);
         Metrics {
             leads: gauge("control_leads", "1 while this process leads with a valid lease"),
             term: gauge("control_term", "Term of the replicated log"),
@@ -59,10 +55,7 @@
 
     /// All metrics in the text form.
     pub fn text(&self) -> String {
-        let encoder = prometheus::TextEncoder::new();
-        encoder
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        self.registry.text()
     }
 }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,7 +1,6 @@
 //! The control daemon: drives [`crate::domain::control::Core`].
 
 mod driver;
-mod error;
 mod messenger;
 mod metrics;
 mod operator;
@@ -9,8 +8,8 @@
 mod run;
 mod web;
 
+pub use crate::daemon::Error;
 pub use driver::Mailbox;
-pub use error::Error;
 pub use run::Daemon;
 pub use run::create;
 pub use run::run;
--- a/src/fleet/error.rs
+++ b/src/daemon/error.rs
@@ -1,8 +1,8 @@
-//! Errors of the fleet daemon.
+//! Errors of the daemons.
 
 use std::fmt;
 
-/// Why the fleet daemon cannot run.
+/// Why a daemon cannot run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Error {
     /// The data folder cannot be used.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,12 +1,16 @@
-//! What the daemons' programs share: command line, exit codes, signals.
+//! What the daemons share: command line, errors, exit codes, signals, metrics, mailboxes.
 
+mod error;
 mod exit;
 mod mailbox;
+mod metrics;
 mod program;
 mod signal;
 
+pub use error::Error;
 pub use exit::code;
 pub use mailbox::Mailbox;
+pub use metrics::Registry;
 pub use program::command;
 pub use program::load;
 pub use program::run;
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -8,16 +8,18 @@
 use super::Call;
 use super::Command;
 use super::Document;
-use super::Loss;
-use super::Order;
 use super::Registry;
-use super::Report;
 use super::State;
-use super::Table;
 use super::Target;
 use super::Timing;
+use super::event::Action;
+use super::event::Event;
+use super::event::Note;
+use super::event::Ticket;
 use super::forming::Progress;
 use super::members;
+use super::reports::Gateway;
+use super::reports::Parked;
 use crate::domain::catalog::Raw;
 use crate::domain::consensus;
 use crate::domain::consensus::Node;
@@ -25,87 +27,17 @@
 use crate::domain::consensus::Restart;
 use crate::domain::consensus::Role;
 
-/// Number by which the daemon finds who waits for an answer.
-pub type Ticket = u64;
-
 /// Applied records between snapshots; a record may hold a whole catalog.
 const SNAPSHOT_EVERY: u64 = 96;
-/// Time for which a gateway's word on a target counts.
-pub(super) const REPORT_FRESH: Duration = Duration::from_millis(1_500);
 /// Time without a report after which a gateway no longer counts.
 const GATEWAY_LOST: Duration = Duration::from_secs(20);
 
-/// Input to [`Core::step`].
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Passage of time.
-    Tick,
-    /// Message from another controller.
-    Consensus {
-        /// Identity of the sender.
-        from: String,
-        /// The message.
-        message: consensus::Message,
-    },
-    /// Call of a gateway, a VM, an operator or another controller.
-    Call {
-        /// Who waits.
-        ticket: Ticket,
-        /// The call.
-        call: Call,
-    },
-    /// The process is shutting down and should not lead.
-    Retire,
-}
-
-/// What the leader believes from now on, for the log.
-#[derive(Clone, Debug)]
-pub enum Note {
-    /// A group takes requests.
-    Opened(u64),
-    /// A group is closed because of a member.
-    Lost(u64, Loss, String),
-    /// A command was committed.
-    Committed(Command),
-    /// A heartbeat was ignored as outdated.
-    Outdated(String),
-}
-
-/// Output of [`Core::step`], to be carried out in order.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Durable write or message of the log.
-    Consensus(consensus::Action),
-    /// Answer for a ticket.
-    Answer(Ticket, Answer),
-    /// Order to a VM.
-    Order(Order),
-    /// This node has started or stopped to lead.
-    Leadership(bool),
-    /// Change of what the leader believes.
-    Note(Note),
-}
-
 /// Order to load weights onto a spare's host.
 pub(super) struct Staging {
     pub(super) model: String,
     pub(super) since: Duration,
 }
 
-pub(super) struct Gateway {
-    pub(super) report: Report,
-    pub(super) heard: Duration,
-}
-
-struct Parked {
-    ticket: Ticket,
-    gateway: String,
-    targets: (u64, u64),
-    version: u64,
-    zones: usize,
-    until: Duration,
-}
-
 /// Decisions of one controller.
 pub struct Core {
     pub(super) node: Node,
@@ -125,12 +57,12 @@
     pub(super) closed: Vec<String>,
     pub(super) revision: u64,
     /// Bumped with each change of zones, so that waiting gateways are told.
-    zone_changes: usize,
+    pub(super) zone_changes: usize,
     /// Own proposals and who waits for them, by log index.
     waiting: BTreeMap<u64, Vec<Ticket>>,
     /// Own placement commands that are not applied yet.
     pub(super) pending: VecDeque<u64>,
-    parked: Vec<Parked>,
+    pub(super) parked: Vec<Parked>,
     retiring: bool,
     /// Whether a command was applied since the targets were renewed.
     targets_dirty: bool,
@@ -309,95 +241,6 @@
         self.propose(now, Some(ticket), command, out);
     }
 
-    fn report(&mut self, now: Duration, ticket: Ticket, report: Report) {
-        self.parked.push(Parked {
-            ticket,
-            gateway: report.gateway.clone(),
-            targets: report.targets,
-            version: report.version,
-            zones: self.zone_changes,
-            until: now + Duration::from_millis(self.timing.poll_ms),
-        });
-        let gateway = Gateway { heard: now, report };
-        self.gateways.insert(gateway.report.gateway.clone(), gateway);
-    }
-
-    /// Answers gateways that have news or have waited long enough.
-    fn answer_parked(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.parked.is_empty() {
-            return;
-        }
-        let leads = self.leads(now);
-        let revision = self.table_revision();
-        for parked in std::mem::take(&mut self.parked) {
-            if !leads {
-                out.push(self.redirect(parked.ticket));
-                continue;
-            }
-            let has_news = parked.targets != revision;
-            let is_old = parked.version < self.state.version() || parked.zones != self.zone_changes;
-            if has_news || is_old || now >= parked.until {
-                let table = self.table(now, &parked);
-                out.push(Action::Answer(parked.ticket, Answer::Table(Box::new(table))));
-            } else {
-                self.parked.push(parked);
-            }
-        }
-    }
-
-    fn table_revision(&self) -> (u64, u64) {
-        (self.node.term(), self.revision)
-    }
-
-    fn table(&self, now: Duration, parked: &Parked) -> Table {
-        let mut running: BTreeMap<String, u32> = BTreeMap::new();
-        for (name, gateway) in &self.gateways {
-            if *name != parked.gateway {
-                for (target, count) in &gateway.report.running {
-                    *running.entry(target.clone()).or_default() += count;
-                }
-            }
-        }
-        let revision = self.table_revision();
-        let tells = parked.targets != revision;
-        let catalog = self.state.document.as_ref().map(|d| &d.raw);
-        Table {
-            revision,
-            targets: tells.then(|| self.targets.clone()),
-            closed: self.closed.clone(),
-            zones_out: self.state.zones_out.iter().cloned().collect(),
-            catalog: catalog.filter(|c| c.version > parked.version).cloned(),
-            version: self.state.version(),
-            running,
-            stalled: self.stalled(now),
-            share: self.share(now, &parked.gateway),
-            gateways: self.gateways.len().max(1),
-            controllers: self.controllers(),
-        }
-    }
-
-    /// Part of all demand that arrives at a gateway.
-    fn share(&self, now: Duration, name: &str) -> f64 {
-        let demand = |g: &Gateway| g.report.demand.values().sum::<f64>();
-        let fresh = self.gateways.values().filter(|g| now < g.heard + REPORT_FRESH);
-        let all: f64 = fresh.map(demand).sum();
-        let own = self.gateways.get(name).map_or(0.0, demand);
-        if all > 0.0 {
-            return own / all;
-        }
-        1.0 / self.gateways.len().max(1) as f64
-    }
-
-    /// Targets that some gateway reports as stalled and none as serving.
-    fn stalled(&self, now: Duration) -> Vec<String> {
-        let fresh = || self.gateways.values().filter(|g| now < g.heard + REPORT_FRESH);
-        let mut stalled: Vec<String> = fresh().flat_map(|g| g.report.stalled.iter().cloned()).collect();
-        stalled.sort_unstable();
-        stalled.dedup();
-        stalled.retain(|id| !fresh().any(|g| g.report.served.contains(id) && !g.report.stalled.contains(id)));
-        stalled
-    }
-
     pub(super) fn redirect(&self, ticket: Ticket) -> Action {
         let leader = self.node.leader().map(str::to_owned);
         // A leader without its lease cannot name anyone better.
--- a/src/domain/fleet/members.rs
+++ b/src/domain/fleet/members.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use super::core::Action;
 use super::core::Core;
+use super::event::Action;
 use crate::domain::consensus;
 
 /// Silence after which a learner is dropped.
--- a/src/domain/fleet/order.rs
+++ b/src/domain/fleet/order.rs
@@ -19,8 +19,6 @@
     Open,
     /// Head: finish the requests that it has and take no more.
     Close,
-    /// Head: stop at once.
-    Abort,
     /// Give the membership up.
     Leave,
 }
--- a/src/domain/fleet/place.rs
+++ b/src/domain/fleet/place.rs
@@ -14,11 +14,9 @@
 use super::Supply;
 use super::Target;
 use super::Task;
-use super::core::Action;
 use super::core::Core;
-use super::core::Gateway;
-use super::core::REPORT_FRESH;
 use super::core::Staging;
+use super::event::Action;
 use super::forming::Progress;
 use super::forming::Step;
 use super::forming::View;
@@ -42,8 +40,9 @@
         self.expire_staging(now);
         self.advance_groups(now, out);
         self.release_strays(now, out);
-        let is_served = |g: &Gateway| !g.report.demand.is_empty();
-        if !self.state.has_traffic && self.pending.is_empty() && self.gateways.values().any(is_served) {
+        let mut gateways = self.gateways.values();
+        let is_served = gateways.any(|g| !g.report.demand.is_empty());
+        if !self.state.has_traffic && self.pending.is_empty() && is_served {
             self.propose(now, None, Command::Serve, out);
         }
         if self.pending.is_empty() {
@@ -147,13 +146,13 @@
                 commands.push(Command::List(Box::new(target)));
             }
         }
-        if self.is_settled(now) {
+        if self
+            .leading_since
+            .is_some_and(|since| now > since + self.timing.forgotten())
+        {
             let is_known = |id: &String| self.registry.get(id).is_some();
             let silent = self.state.listed.keys().filter(|id| !is_known(id));
-            let since = self.leading_since.unwrap_or(now);
-            if now > since + self.timing.forgotten() {
-                commands.extend(silent.map(|id| Command::Unlist { id: id.clone() }));
-            }
+            commands.extend(silent.map(|id| Command::Unlist { id: id.clone() }));
         }
         for command in commands {
             self.propose(now, None, command, out);
@@ -169,14 +168,13 @@
 
     fn view(&self, now: Duration, group: &Group) -> View<'_> {
         let head = &group.head().id;
-        let fresh = || self.gateways.values().filter(|g| now < g.heard + REPORT_FRESH);
         View {
             now,
             registry: &self.registry,
             timing: &self.timing,
             fence: self.node.term(),
-            served: fresh().any(|g| g.report.served.contains(head)),
-            stalled: fresh().any(|g| g.report.stalled.contains(head)),
+            served: self.fresh_reports(now).any(|r| r.served.contains(head)),
+            stalled: self.fresh_reports(now).any(|r| r.stalled.contains(head)),
             since: self.leading_since.unwrap_or(now),
         }
     }
@@ -204,7 +202,7 @@
                     .filter(|vm| vm.is_usable() && vm.announcement.service == service.name)
                     .count(),
                 demand: self.demand(now, service),
-                loading: self.loading(now, service),
+                loading: self.loading(service),
                 has_traffic: self.state.has_traffic,
             };
             match plan::draft(&supply) {
@@ -251,12 +249,11 @@
 
     /// Measured demand for each model of a service; empty while too little is known.
     fn demand(&self, now: Duration, service: &Service) -> BTreeMap<String, f64> {
-        let fresh = || self.gateways.values().filter(|g| now < g.heard + REPORT_FRESH);
         let models = service.engine.iter().flat_map(|e| &e.models);
         let demand: BTreeMap<String, f64> = models
             .map(|model| {
                 let key = Demand::key(&service.name, &model.name);
-                let sum = fresh().filter_map(|g| g.report.demand.get(&key)).sum();
+                let sum = self.fresh_reports(now).filter_map(|r| r.demand.get(&key)).sum();
                 (model.name.clone(), sum)
             })
             .collect();
@@ -309,7 +306,7 @@
     }
 
     /// Loads from the store in progress: members of forming groups, and spares.
-    fn loading(&self, now: Duration, service: &Service) -> usize {
+    fn loading(&self, service: &Service) -> usize {
         let forming = self.state.groups.values().filter(|g| {
             let progress = self.progress.get(&g.epoch);
             g.service == service.name && progress.is_none_or(|p| !p.opened && p.closing.is_none())
@@ -324,10 +321,7 @@
         let joining: usize = forming
             .map(|g| g.members.iter().filter(|m| is_loading(g, m)).count())
             .sum();
-        let staging = self.staging.iter().filter(|(id, staging)| {
-            let is_free = self.state.group_of(id).is_none();
-            is_free && now < staging.since + STAGING_LIMIT
-        });
+        let staging = self.staging.keys().filter(|id| self.state.group_of(id).is_none());
         joining + staging.count()
     }
 
--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use super::Settings;
+use super::slot::Slot;
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Table;
 use crate::domain::fleet::Target;
@@ -22,10 +23,6 @@
 const HOME_LEAD: f64 = 0.04;
 /// Time for which a target counts as serving after an answer.
 const SERVED_FOR: Duration = Duration::from_millis(1_000);
-/// Silence of all running streams of a target after which it gets no new requests: several
-/// passes of a full engine.
-const SUSPECT_AFTER: Duration = Duration::from_millis(350);
-
 /// How a send ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -72,28 +69,6 @@
     Nothing,
 }
 
-#[derive(Clone, Debug)]
-struct Slot {
-    target: Target,
-    running: u32,
-    others: u32,
-    closed: bool,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Duration,
-    answered: Option<Duration>,
-    /// Whether a send has failed and none was answered since.
-    has_failed: bool,
-    /// Streams that have sent an event and not ended.
-    streaming: u32,
-    /// Whether other gateways have reported the target as stalled.
-    is_accused: bool,
-    /// When the target was first named, or named as cold.
-    appeared: Option<Duration>,
-    /// Earliest time of the next request, by the rate that a cold target bears.
-    next: Duration,
-}
-
 /// Targets as one gateway sees them.
 #[derive(Clone, Debug)]
 pub struct Balancer {
@@ -354,43 +329,6 @@
     }
 }
 
-impl Slot {
-    fn new(target: Target) -> Self {
-        Slot {
-            target,
-            running: 0,
-            others: 0,
-            closed: false,
-            failures: 0,
-            ejections: 0,
-            ejected_until: Duration::ZERO,
-            answered: None,
-            has_failed: false,
-            streaming: 0,
-            is_accused: false,
-            appeared: None,
-            next: Duration::ZERO,
-        }
-    }
-
-    fn load(&self) -> u32 {
-        self.running + self.others
-    }
-
-    /// Whether all running streams of the target have been silent for too long.
-    fn is_suspect(&self, now: Duration) -> bool {
-        let heard = self.answered.unwrap_or(Duration::ZERO);
-        self.streaming > 0 && now > heard + SUSPECT_AFTER
-    }
-
-    /// Whether the target may get a request; one that was left out gets a single one at first.
-    fn is_healthy(&self, now: Duration) -> bool {
-        let is_vouched = self.answered.is_some_and(|at| now < at + SUSPECT_AFTER);
-        let is_probed = self.ejections > 0 && self.running > 0;
-        self.ejected_until <= now && !is_probed && !self.is_suspect(now) && (!self.is_accused || is_vouched)
-    }
-}
-
 /// Time until one of the full targets should have finished a request.
 fn expected_room(pool: &[&Slot], need: &Need) -> Duration {
     let Some(engine) = &need.service.engine else {
--- a/src/domain/gateway/mod.rs
+++ b/src/domain/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod patience;
 mod settings;
+mod slot;
 
 pub use balance::Balancer;
 pub use balance::Choice;
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -1,11 +1,10 @@
 //! Metrics of an entry.
 
 use prometheus::Histogram;
-use prometheus::HistogramOpts;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
-use prometheus::Opts;
-use prometheus::Registry;
+
+use crate::daemon::Registry;
 
 /// Bounds of the histogram of times to the first token, in seconds.
 const FIRST_TOKEN_BOUNDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.78, 1.5, 3.0, 6.0, 12.0];
@@ -26,26 +25,9 @@
 
 impl Metrics {
     pub(super) fn new() -> Self {
-        let registry = Registry::new();
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(format!("heatherramp_{name}"), help).expect("a legal name");
-            registry.register(Box::new(gauge.clone())).expect("a unique name");
-            gauge
-        };
-        let counter = |name: &str, help: &str, labels: &[&str]| {
-            let options = Opts::new(format!("heatherramp_{name}"), help);
-            let counter = IntCounterVec::new(options, labels).expect("legal names");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("a unique name");
-            counter
-        };
-        let options = HistogramOpts::new("heatherramp_first_token_seconds", "Time to the first token")
-            .buckets(FIRST_TOKEN_BOUNDS.to_vec());
-        let first_token = Histogram::with_opts(options).expect("a legal name");
-        registry
-            .register(Box::new(first_token.clone()))
-            .expect("a unique name");
+        let registry = Registry::new("heatherramp");
+        let gauge = |name: &str, help: &str| registry.gauge(name, help);
+        let counter = |name: &str, help: &str, labels: &[&str]| registry.counters(name, help, labels);
         Metrics {
             calls: counter("calls_total", "Calls by outcome", &["environment", "outcome"]),
             attempts_failed: counter(
@@ -53,7 +35,11 @@
                 "Attempts that broke off",
                 &["environment"],
             ),
-            first_token,
+            first_token: registry.histogram(
+                "first_token_seconds",
+                "Time to the first token",
+                &FIRST_TOKEN_BOUNDS,
+            ),
             in_flight: gauge("calls_in_flight", "Calls in flight at owned replicas"),
             queued: gauge("calls_queued", "Calls that wait for an owned replica"),
             replicas_open: gauge("replicas_open", "Owned replicas that take new work"),
@@ -65,9 +51,6 @@
 
     /// All metrics in the text form.
     pub(super) fn text(&self) -> String {
-        let encoder = prometheus::TextEncoder::new();
-        encoder
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        self.registry.text()
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,7 +6,6 @@
 mod account;
 mod chat;
 mod context;
-mod error;
 mod execute;
 mod metrics;
 mod once;
@@ -19,6 +18,6 @@
 mod sync;
 mod web;
 
-pub use error::Error;
+pub use crate::daemon::Error;
 pub use run::Daemon;
 pub use run::run;
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -102,12 +102,14 @@
 
     fn note(&self, core: &Core, note: &Note) {
         let (term, index) = (core.node().term(), core.state().index);
-        let base = [("term", term.into()), ("index", index.into())];
         match note {
             Note::Opened(epoch) => {
                 self.metrics.groups_opened.inc();
-                let fields = [base[0].clone(), base[1].clone(), ("group", (*epoch).into())];
-                logging::GROUP_OPENED.write(&fields);
+                logging::GROUP_OPENED.write(&[
+                    ("term", term.into()),
+                    ("index", index.into()),
+                    ("group", (*epoch).into()),
+                ]);
             }
             Note::Lost(epoch, loss, vm) => {
                 let loss = format!("{loss:?}");
@@ -128,10 +130,6 @@
                     ("command", short.as_str().into()),
                 ]);
             }
-            Note::Outdated(vm) => {
-                logging::HEARTBEAT_REFUSED
-                    .write(&[("vm", vm.as_str().into()), ("reason", "outdated".into())]);
-            }
         }
     }
 
--- a/src/fleet/messenger.rs
+++ b/src/fleet/messenger.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::adapters::clock;
 use crate::adapters::http1;
 use crate::adapters::quic::Pool;
 use crate::adapters::wire;
@@ -57,7 +58,7 @@
         let queue = self.queues.entry(address).or_insert_with_key(|address| {
             let (sender, receiver) = mpsc::channel(QUEUE);
             self.runtime
-                .spawn(deliver(self.pool.clone(), address.clone(), receiver));
+                .spawn(self.pool.clone().deliver(address.clone(), receiver));
             sender
         });
         // A full queue drops the message, which consensus allows.
@@ -68,10 +69,10 @@
     pub(super) fn order(&self, order: Order) {
         let client = self.client.clone();
         self.runtime.spawn(async move {
-            let started = crate::adapters::clock::now();
+            let started = clock::now();
             let result = timeout(ORDER_WAIT, deliver_order(&client, &order)).await;
             let result = result.unwrap_or_else(|_| Err("no answer in time".to_owned()));
-            let took = (crate::adapters::clock::now() - started).as_millis() as u64;
+            let took = (clock::now() - started).as_millis() as u64;
             let task = format!("{:?}", order.task);
             let outcome = match &result {
                 Ok(status) => status.to_string(),
@@ -107,10 +108,3 @@
     let (response, _link) = sent.map_err(|f| format!("{f:?}"))?;
     Ok(response.status().as_u16())
 }
-
-async fn deliver(pool: Pool, address: String, mut queue: mpsc::Receiver<wire::Request>) {
-    while let Some(request) = queue.recv().await {
-        // Opening may fail while the peer is away; consensus sends again.
-        let _ = pool.open(&address, request).await;
-    }
-}
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -5,9 +5,8 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
-use prometheus::Opts;
-use prometheus::Registry;
 
+use crate::daemon::Registry;
 use crate::domain::fleet::Core;
 
 /// Counters and gauges of a controller.
@@ -29,27 +28,10 @@
 
 impl Metrics {
     pub(super) fn new() -> Self {
-        let registry = Registry::new();
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(format!("heatherramp_fleet_{name}"), help).expect("a legal name");
-            registry.register(Box::new(gauge.clone())).expect("a unique name");
-            gauge
-        };
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(format!("heatherramp_fleet_{name}"), help).expect("a legal name");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("a unique name");
-            counter
-        };
-        let counters = |name: &str, help: &str, label: &str| {
-            let options = Opts::new(format!("heatherramp_fleet_{name}"), help);
-            let counter = IntCounterVec::new(options, &[label]).expect("legal names");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("a unique name");
-            counter
-        };
+        let registry = Registry::new("heatherramp_fleet");
+        let gauge = |name: &str, help: &str| registry.gauge(name, help);
+        let counter = |name: &str, help: &str| registry.counter(name, help);
+        let counters = |name: &str, help: &str, label: &str| registry.counters(name, help, &[label]);
         Metrics {
             leads: gauge("leads", "1 while this controller leads with a valid lease"),
             term: gauge("term", "Term of the replicated log"),
@@ -77,9 +59,6 @@
     }
 
     pub(super) fn text(&self) -> String {
-        let encoder = prometheus::TextEncoder::new();
-        encoder
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        self.registry.text()
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,7 +1,6 @@
 //! Daemon of a fleet controller: the replicated log, VMs, groups and operators.
 
 mod driver;
-mod error;
 mod join;
 mod messenger;
 mod metrics;
@@ -9,8 +8,8 @@
 mod run;
 mod web;
 
+pub use crate::daemon::Error;
 pub use driver::Mailbox;
 pub use driver::Status;
-pub use error::Error;
 pub use run::Daemon;
 pub use run::run;
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -59,11 +59,7 @@
     let keys = Identity::load(&settings.keys).change_context(Error::Keys)?;
     let (folder, identity, restart) = open_folder(&settings).await?;
     let pool = Pool::new(&keys).change_context(Error::Keys)?;
-    let seeds: Vec<SocketAddr> = settings
-        .seeds
-        .iter()
-        .map(|s| SocketAddr::new(s.ip(), settings.peer_port))
-        .collect();
+    let seeds = settings.peer_seeds();
     let client = Client::new(pool.clone(), &seeds);
     let (mailbox, events) = Mailbox::new();
     let metrics = Metrics::new();
@@ -165,11 +161,7 @@
 /// the first voters. Any other controller joins under an identity that never existed.
 fn first_identity(settings: &Fleet) -> (String, Vec<String>) {
     let own = settings.peer_address();
-    let seeds: Vec<SocketAddr> = settings
-        .seeds
-        .iter()
-        .map(|s| SocketAddr::new(s.ip(), settings.peer_port))
-        .collect();
+    let seeds = settings.peer_seeds();
     if settings.first_start && seeds.contains(&own) {
         return (own.to_string(), seeds.iter().map(ToString::to_string).collect());
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,13 +1,12 @@
 //! Metrics of a gateway.
 
 use prometheus::Histogram;
-use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
-use prometheus::Opts;
-use prometheus::Registry;
+
+use crate::daemon::Registry;
 
 /// Bounds of the latency histograms, in seconds.
 const BOUNDS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0];
@@ -34,34 +33,9 @@
 
 impl Metrics {
     pub(super) fn new() -> Self {
-        let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            let options = Opts::new(format!("heatherramp_gateway_{name}"), help);
-            let counter = IntCounterVec::new(options, labels).expect("legal names");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("a unique name");
-            counter
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(format!("heatherramp_gateway_{name}"), help).expect("a legal name");
-            registry.register(Box::new(gauge.clone())).expect("a unique name");
-            gauge
-        };
-        let bounds = |name: &str, help: &str| {
-            HistogramOpts::new(format!("heatherramp_gateway_{name}"), help).buckets(BOUNDS.to_vec())
-        };
-        let first = bounds("first_seconds", "Time to the answer or its first event");
-        let first = HistogramVec::new(first, &["service"]).expect("a legal name");
-        let waits = bounds("wait_seconds", "Time for which requests waited for room");
-        let waits = Histogram::with_opts(waits).expect("a legal name");
-        let events = IntCounter::new("heatherramp_gateway_events_total", "Events passed to callers")
-            .expect("a legal name");
-        registry.register(Box::new(first.clone())).expect("a unique name");
-        registry.register(Box::new(waits.clone())).expect("a unique name");
-        registry
-            .register(Box::new(events.clone()))
-            .expect("a unique name");
+        let registry = Registry::new("heatherramp_gateway");
+        let counters = |name: &str, help: &str, labels: &[&str]| registry.counters(name, help, labels);
+        let gauge = |name: &str, help: &str| registry.gauge(name, help);
         Metrics {
             requests: counters("requests_total", "Requests by outcome", &["service", "outcome"]),
             refusals: counters("refusals_total", "Refusals by reason", &["reason"]),
@@ -69,17 +43,19 @@
             reports: counters("reports_total", "Reports to the leader by outcome", &["outcome"]),
             version: gauge("catalog_version", "Version of the catalog in force"),
             targets: gauge("targets", "Targets named by the leader"),
-            first,
-            waits,
-            events,
+            first: registry.histograms(
+                "first_seconds",
+                "Time to the answer or its first event",
+                &BOUNDS,
+                &["service"],
+            ),
+            waits: registry.histogram("wait_seconds", "Time for which requests waited for room", &BOUNDS),
+            events: registry.counter("events_total", "Events passed to callers"),
             registry,
         }
     }
 
     pub(super) fn text(&self) -> String {
-        let encoder = prometheus::TextEncoder::new();
-        encoder
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        self.registry.text()
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,14 +4,14 @@
 mod attempt;
 mod caller;
 mod context;
-mod error;
 mod metrics;
 mod request;
 mod run;
+mod send;
 mod status;
 mod stream;
 mod sync;
 
-pub use error::Error;
+pub use crate::daemon::Error;
 pub use run::Daemon;
 pub use run::run;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -52,11 +52,7 @@
 pub async fn run(settings: Gateway) -> Result<Daemon, Report<Error>> {
     let keys = Identity::load(&settings.keys).change_context(Error::Keys)?;
     let pool = Pool::new(&keys).change_context(Error::Keys)?;
-    let seeds: Vec<SocketAddr> = settings
-        .seeds
-        .iter()
-        .map(|s| SocketAddr::new(s.ip(), settings.peer_port))
-        .collect();
+    let seeds = settings.peer_seeds();
     let context = Arc::new(Context::new(&settings, Client::new(pool, &seeds)));
     let shared = context.clone();
     let handler = move |request| caller::handle(shared.clone(), request);
@@ -74,7 +70,7 @@
     }
     let file = std::env::var_os("HEATHERRAMP_SETTINGS").map(PathBuf::from);
     let (shared, name) = (context.clone(), settings.name.clone());
-    tokio::spawn(sync::keep_in_touch(shared, name, settings.peer_port, file));
+    tokio::spawn(sync::keep_in_touch(shared, name, file));
     logging::PROCESS_STARTED.write(&[
         ("program", "gateway".into()),
         ("listen", settings.listen.to_string().as_str().into()),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,11 +10,11 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::attempt::Send;
 use super::attempt::elapsed;
-use super::attempt::outgoing;
 use super::request::Request;
 use super::request::strip_connection;
+use super::send::Send;
+use super::send::outgoing;
 use crate::adapters::clock;
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Cut;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -31,12 +31,7 @@
 }
 
 /// Reports until the process ends.
-pub(super) async fn keep_in_touch(
-    context: Arc<Context>,
-    name: String,
-    peer_port: u16,
-    file: Option<PathBuf>,
-) {
+pub(super) async fn keep_in_touch(context: Arc<Context>, name: String, file: Option<PathBuf>) {
     let name = format!("{name}#{:08x}", rand::random::<u32>());
     let mut held = Held::default();
     loop {
@@ -59,7 +54,7 @@
         if held.failures.is_multiple_of(FAILURES)
             && let Some(file) = &file
         {
-            reload(&context, peer_port, file);
+            reload(&context, file);
         }
         tokio::time::sleep(AGAIN).await;
     }
@@ -127,14 +122,10 @@
 }
 
 /// Takes the controllers that the settings name now.
-fn reload(context: &Context, peer_port: u16, file: &std::path::Path) {
+fn reload(context: &Context, file: &std::path::Path) {
     match settings::load::<settings::Gateway>(file) {
         Ok(read) => {
-            let seeds: Vec<_> = read
-                .seeds
-                .iter()
-                .map(|s| std::net::SocketAddr::new(s.ip(), peer_port))
-                .collect();
+            let seeds = read.peer_seeds();
             context.controllers.set_seeds(&seeds);
             logging::SETTINGS_RELOADED.write(&[("seeds", (seeds.len() as u64).into())]);
         }
--- a/src/platform/order.rs
+++ b/src/platform/order.rs
@@ -21,7 +21,6 @@
         Task::Stage { model } => json!({ "operation": "phase-name", "model-name": model }),
         Task::Open => json!({ "operation": "open" }),
         Task::Close => json!({ "operation": "close", "method": "queue" }),
-        Task::Abort => json!({ "operation": "close", "method": "preempt" }),
         Task::Leave => json!({ "operation": "leave" }),
     };
     if !matches!(order.task, Task::Stage { .. }) {
--- a/src/settings/fleet.rs
+++ b/src/settings/fleet.rs
@@ -80,12 +80,22 @@
         SocketAddr::new(self.listen.ip(), self.peer_port)
     }
 
+    /// Addresses of the seeds for the system's own processes.
+    pub fn peer_seeds(&self) -> Vec<SocketAddr> {
+        peers(&self.seeds, self.peer_port)
+    }
+
     /// Voters that bear the loss of `disk_losses` disks.
     pub fn voters(&self) -> usize {
         2 * self.disk_losses + 1
     }
 }
 
+/// Addresses of the seeds for the system's own processes.
+pub(super) fn peers(seeds: &[SocketAddr], port: u16) -> Vec<SocketAddr> {
+    seeds.iter().map(|s| SocketAddr::new(s.ip(), port)).collect()
+}
+
 /// Refuses an empty list of controllers.
 pub(super) fn check_seeds(seeds: &[SocketAddr]) -> Result<(), Report<Error>> {
     if seeds.is_empty() {
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -8,6 +8,7 @@
 
 use super::Error;
 use super::fleet::check_seeds;
+use super::fleet::peers;
 use crate::adapters::quic;
 use crate::domain::gateway;
 
@@ -77,4 +78,9 @@
         }
         Ok(())
     }
+
+    /// Addresses of the seeds for the system's own processes.
+    pub fn peer_seeds(&self) -> Vec<SocketAddr> {
+        peers(&self.seeds, self.peer_port)
+    }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -293,7 +293,7 @@
                         place.stage = Stage::Open;
                         self.check_open(&order.vm, order.epoch);
                     }
-                    Task::Close | Task::Abort if place.stage == Stage::Open => place.stage = Stage::Ready,
+                    Task::Close if place.stage == Stage::Open => place.stage = Stage::Ready,
                     Task::Leave => vm.place = None,
                     _ => {}
                 }
