--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -166,6 +166,24 @@
         }
     }
 
+    /// World whose operator sets a catalog after two seconds, run until `until`.
+    fn run(seed: u64, until: u64) -> Self {
+        let mut world = World::new(seed);
+        world.advance_to(2_000);
+        world.call(Call::Adopt {
+            text: "{}".to_owned(),
+            raw: Box::new(catalog()),
+        });
+        world.advance_to(until);
+        world
+    }
+
+    fn advance_to(&mut self, until: u64) {
+        while self.now < until {
+            self.advance();
+        }
+    }
+
     fn step(&mut self, event: Event) {
         let actions = self.core.step(Duration::from_millis(self.now), event);
         for action in actions {
@@ -474,52 +492,22 @@
     let (runs, first) = runs();
     let mut opened = 0;
     for seed in first..first + runs {
-        let mut world = World::new(seed);
-        while world.now < 2_000 {
-            world.advance();
-        }
-        world.call(Call::Adopt {
-            text: "{}".to_owned(),
-            raw: Box::new(catalog()),
-        });
-        while world.now < 60_000 {
-            world.advance();
-        }
-        opened += world.opened;
+        opened += World::run(seed, 60_000).opened;
     }
     assert!(opened as u64 > runs * 4, "{opened} groups opened in {runs} runs");
 }
 
 #[test]
 fn a_group_without_faults_opens_and_stays() {
-    let mut world = World::new(1);
-    while world.now < 2_000 {
-        world.advance();
-    }
-    world.call(Call::Adopt {
-        text: "{}".to_owned(),
-        raw: Box::new(catalog()),
-    });
-    while world.now < 12_000 {
-        world.advance();
-    }
+    let world = World::run(1, 12_000);
     assert!(world.core.targets().len() >= 2, "{:?}", world.core.targets());
 }
 
 #[test]
 fn a_restarted_controller_names_its_targets_at_once() {
-    let mut world = World::new(1);
-    while world.now < 2_000 {
-        world.advance();
-    }
-    world.call(Call::Adopt {
-        text: "{}".to_owned(),
-        raw: Box::new(catalog()),
-    });
-    while world.now < 8_000 {
-        world.advance();
-    }
+    let mut world = World::run(1, 12_000);
     let before = world.core.targets().to_vec();
+    assert!(!before.is_empty(), "no targets to name");
     world.core = core(&world.disk, world.now);
     while !world.core.leads(Duration::from_millis(world.now)) {
         world.now += STEP;
@@ -532,9 +520,7 @@
 #[test]
 fn an_outdated_heartbeat_revives_nobody() {
     let mut world = World::new(1);
-    while world.now < 2_000 {
-        world.advance();
-    }
+    world.advance_to(2_000);
     let mut vm = world.vms["vm00"].clone();
     vm.sequence = 5;
     let old = announcement(&vm);
