--- a/src/daemon/mailbox.rs
+++ b/src/daemon/mailbox.rs
@@ -1,23 +1,15 @@
 //! Mailbox of a thread that owns a state machine: passes events in and answers back.
 
-use std::collections::HashMap;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 
-use tokio::sync::oneshot;
-
-/// Number that matches an answer with the task that waits for it.
-type Ticket = u64;
+use super::tickets::Ticket;
+use super::tickets::Tickets;
 
 /// Handle that sends events `E` to the thread and delivers its answers `A`.
 #[derive(Debug)]
 pub struct Mailbox<E, A> {
     events: mpsc::Sender<E>,
-    tickets: Arc<AtomicU64>,
-    waiting: Arc<Mutex<HashMap<Ticket, oneshot::Sender<A>>>>,
+    tickets: Tickets<A>,
 }
 
 impl<E, A> Clone for Mailbox<E, A> {
@@ -25,7 +17,6 @@
         Mailbox {
             events: self.events.clone(),
             tickets: self.tickets.clone(),
-            waiting: self.waiting.clone(),
         }
     }
 }
@@ -36,8 +27,7 @@
         let (events, receiver) = mpsc::channel();
         let mailbox = Mailbox {
             events,
-            tickets: Arc::default(),
-            waiting: Arc::default(),
+            tickets: Tickets::default(),
         };
         (mailbox, receiver)
     }
@@ -52,26 +42,13 @@
     ///
     /// Returns the default answer if the thread ends first.
     pub async fn ask(&self, make: impl FnOnce(Ticket) -> E) -> A {
-        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = oneshot::channel();
-        self.waiting
-            .lock()
-            .expect("no panic under this lock")
-            .insert(ticket, sender);
+        let (ticket, receiver) = self.tickets.issue();
         self.tell(make(ticket));
         receiver.await.unwrap_or_default()
     }
 
     /// Delivers an answer to the task that waits for `ticket`.
     pub fn answer(&self, ticket: Ticket, answer: A) {
-        let waiting = self
-            .waiting
-            .lock()
-            .expect("no panic under this lock")
-            .remove(&ticket);
-        if let Some(sender) = waiting {
-            // The waiting task may have been cancelled.
-            let _ = sender.send(answer);
-        }
+        self.tickets.answer(ticket, answer);
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod metrics;
 mod program;
 mod signal;
+mod tickets;
 
 pub use error::Error;
 pub use exit::exit_code;
@@ -16,3 +17,4 @@
 pub use program::run;
 pub use program::run_single_threaded;
 pub use signal::shutdown_signal;
+pub use tickets::Tickets;
--- a/src/domain/fleet/announcement.rs
+++ b/src/domain/fleet/announcement.rs
@@ -63,3 +63,21 @@
     /// Group membership, if any.
     pub membership: Option<Membership>,
 }
+
+impl Announcement {
+    /// Whether two heartbeats differ at most in the sequence number and the remaining time of the cold
+    /// start. The start or end of a cold start counts as a difference.
+    pub fn has_content_of(&self, other: &Announcement) -> bool {
+        self.id == other.id
+            && self.incarnation == other.incarnation
+            && self.service == other.service
+            && self.address == other.address
+            && self.zone == other.zone
+            && self.domain == other.domain
+            && self.slots == other.slots
+            && self.draining == other.draining
+            && (self.cold_ms == 0) == (other.cold_ms == 0)
+            && self.staged == other.staged
+            && self.membership == other.membership
+    }
+}
--- a/src/domain/fleet/call.rs
+++ b/src/domain/fleet/call.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::Announcement;
+use super::Controller;
 use super::Document;
 use super::Table;
 use crate::domain::catalog::Compressed;
@@ -32,8 +33,64 @@
     pub draining: bool,
 }
 
+/// Heartbeat that a controller has received.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Heard {
+    /// Heartbeat.
+    pub announcement: Announcement,
+    /// Time since the controller received it, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Further heartbeat of a VM with the content of an earlier one.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Renewal {
+    /// Identifier of the VM.
+    pub id: String,
+    /// Incarnation of the VM.
+    pub incarnation: u64,
+    /// Number of the heartbeat within the incarnation.
+    pub sequence: u64,
+}
+
+/// What one controller has heard from gateways and VMs; the answer is an [`Overview`].
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Digest {
+    /// The controller that sends the digest.
+    pub controller: Controller,
+    /// Term of the leader that sent the controller's targets, and revision of the targets within it.
+    pub targets: (u64, u64),
+    /// Version of the catalog that the controller has relayed to its gateways.
+    pub version: u64,
+    /// Identities of the gateways that report to this controller.
+    pub gateways: Vec<String>,
+    /// Requests in progress from these gateways, by target.
+    pub running: BTreeMap<String, u32>,
+    /// Targets that answered one of these gateways within the last second, and whether one of those
+    /// gateways does not report the target as stalled.
+    pub served: BTreeMap<String, bool>,
+    /// Targets that one of these gateways reports as stalled.
+    pub stalled: Vec<String>,
+    /// Requested work by `service/model`, as in [`Report::demand`].
+    pub demand: BTreeMap<String, f64>,
+    /// Heartbeats whose content the leader does not have.
+    pub changed: Vec<Heard>,
+    /// Heartbeats whose content the leader has.
+    pub renewed: Vec<Renewal>,
+}
+
+/// The leader's answer to a [`Digest`].
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Overview {
+    /// Routing table; `running` counts the requests of gateways that report to other controllers, and
+    /// `share` is not set.
+    pub table: Table,
+    /// Demand of all gateways over all services and models.
+    pub demand: f64,
+}
+
 /// Call to a controller. Only the leader carries calls out, and other controllers redirect to it;
-/// `Catalog` is answered by any controller.
+/// any controller answers `Report`, `Announce` and `Catalog`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Call {
     /// A controller asks to join the replicated log.
@@ -52,15 +109,17 @@
     },
     /// An operator reads the text of the catalog in force.
     Read,
-    /// Heartbeat of a VM.
+    /// Heartbeat of a VM; the relay passes on those that need no acknowledgement by the leader.
     Announce(Box<Announcement>),
     /// A VM has shut down.
     Leave {
         /// Identifier of the VM.
         id: String,
     },
-    /// Report of a gateway.
+    /// Report of a gateway, for a controller's relay.
     Report(Box<Report>),
+    /// A controller passes on what it has heard from gateways and VMs.
+    Digest(Box<Digest>),
     /// A gateway fetches the catalog; any controller answers.
     Catalog {
         /// Version that the gateway holds; only a higher one is sent.
@@ -81,6 +140,8 @@
     Catalog(Option<Compressed>),
     /// Routing table for a gateway.
     Table(Box<Table>),
+    /// What the leader tells a controller.
+    Overview(Box<Overview>),
 }
 
 /// Needed by the mailbox for a call that is dropped without an answer; the caller then tries another
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -18,7 +18,7 @@
 use super::event::Ticket;
 use super::lifecycle::Lifecycle;
 use super::log_membership;
-use super::reports::Gateway;
+use super::reports::Peer;
 use super::reports::Poll;
 use crate::domain::consensus;
 use crate::domain::consensus::Node;
@@ -31,10 +31,8 @@
 /// Bytes of applied commands after which a snapshot is taken, far below a controller's memory and
 /// disk; a command may hold a whole catalog.
 const SNAPSHOT_INTERVAL_BYTES: usize = 8 << 20;
-/// Time without a report after which a gateway is forgotten and its share of the limits goes to the
-/// others.
-const GATEWAY_EXPIRY: Duration = Duration::from_secs(20);
-
+/// Interval at which the groups are compared with the heartbeats when nothing has changed.
+const RECONCILE_INTERVAL: Duration = Duration::from_millis(100);
 /// Heartbeat intervals for which a leader waits for further VMs at most while no request has ever
 /// arrived.
 const MAX_DISCOVERY_HEARTBEATS: u32 = 4;
@@ -57,8 +55,10 @@
     pub(super) staging: BTreeMap<String, Staging>,
     /// Time of the last order to leave a dissolved group, by VM.
     pub(super) leave_orders_sent: BTreeMap<String, Duration>,
-    /// Gateways with their latest reports, by identity.
-    pub(super) gateways: BTreeMap<String, Gateway>,
+    /// Controllers with their latest digests, by address.
+    pub(super) peers: BTreeMap<String, Peer>,
+    /// Number of gateways that share limits, at least 1.
+    pub(super) gateway_count: usize,
     /// When this leader first found each member in the log's membership, by identity.
     pub(super) member_first_seen: BTreeMap<String, Duration>,
     /// When this node became leader; none while it follows.
@@ -75,7 +75,7 @@
     tickets_by_index: BTreeMap<u64, Vec<Ticket>>,
     /// Log indices of this leader's own proposals, without a caller, that are not applied yet.
     pub(super) own_proposals: VecDeque<u64>,
-    /// Reports of gateways that wait for an answer.
+    /// Digests of controllers that wait for an answer.
     pub(super) polls: Vec<Poll>,
     /// Whether the process is shutting down; a leader then transfers its leadership.
     shutting_down: bool,
@@ -83,6 +83,11 @@
     applied_bytes: usize,
     /// Whether a command was applied since the targets were recomputed.
     targets_dirty: bool,
+    /// Whether heartbeats, reports or commands have changed what the groups depend on since the last
+    /// reconciliation.
+    pub(super) reconcile_due: bool,
+    /// When the groups were last reconciled.
+    reconciled_at: Duration,
 }
 
 impl Core {
@@ -106,7 +111,8 @@
             lifecycles: BTreeMap::new(),
             staging: BTreeMap::new(),
             leave_orders_sent: BTreeMap::new(),
-            gateways: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            gateway_count: 1,
             member_first_seen: BTreeMap::new(),
             leading_since: None,
             targets: Vec::new(),
@@ -119,6 +125,8 @@
             shutting_down: false,
             applied_bytes: 0,
             targets_dirty: false,
+            reconcile_due: false,
+            reconciled_at: Duration::ZERO,
         }
     }
 
@@ -188,7 +196,12 @@
             return;
         }
         self.maintain_log_membership(now, out);
-        self.gateways.retain(|_, g| now < g.reported_at + GATEWAY_EXPIRY);
+        self.expire_peers(now);
+        if !self.reconcile_due && now < self.reconciled_at + RECONCILE_INTERVAL {
+            return;
+        }
+        self.reconcile_due = false;
+        self.reconciled_at = now;
         let silence_cutoff = now.saturating_sub(self.timing.vm_retention());
         self.registry.evict_silent(silence_cutoff);
         self.reconcile(now, out);
@@ -221,18 +234,10 @@
                 out.push(Action::Answer(ticket, Answer::Text(text)));
             }
             Call::Announce(announcement) => {
-                let id = announcement.id.clone();
                 let is_draining = announcement.draining;
-                // After an unchanged heartbeat there is nothing to do before the next tick.
-                if self.registry.record_heartbeat(now, *announcement) {
-                    if let Some(group) = self.state.group_of(&id)
-                        && let Some(lifecycle) = self.lifecycles.get_mut(&group.epoch)
-                    {
-                        lifecycle.allow_order_now(&id);
-                    }
-                    self.reconcile(now, out);
-                }
+                self.record_heartbeat(now, Duration::ZERO, *announcement);
                 if is_draining {
+                    self.reconcile(now, out);
                     self.answer_when_applied(ticket, out);
                 } else {
                     out.push(Action::Answer(ticket, Answer::Done));
@@ -243,7 +248,9 @@
                 self.reconcile(now, out);
                 self.answer_when_applied(ticket, out);
             }
-            Call::Report(report) => self.receive_report(now, ticket, *report),
+            Call::Digest(digest) => self.receive_digest(now, ticket, *digest),
+            // The relay answers reports.
+            Call::Report(_) => out.push(self.redirect(ticket)),
         }
     }
 
@@ -355,6 +362,7 @@
             self.state.apply(record.index, &command);
             self.applied_bytes += text.len();
             self.targets_dirty = true;
+            self.reconcile_due = true;
             if self.leading_since.is_some() {
                 out.push(Action::Telemetry(Telemetry::Committed(command)));
             }
@@ -376,7 +384,8 @@
             self.staging.clear();
             self.leave_orders_sent.clear();
             self.member_first_seen.clear();
-            self.gateways.clear();
+            self.peers.clear();
+            self.gateway_count = 1;
             self.targets.clear();
             self.closed.clear();
             self.revision = 0;
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -8,6 +8,10 @@
 //! head, accepts the requests. A spare is a free VM whose host has the weights of a model, or loads
 //! them.
 //!
+//! Gateways and VMs call the controller in their availability zone. Its relay passes on what it has
+//! heard to the leader in one digest for all of them, so the leader's work grows with what changes and
+//! with the number of controllers, not with the number of gateways and heartbeats.
+//!
 //! Formation and dissolution of a group are committed before any order that depends on
 //! them. The log index of the formation is the group's epoch, so a late order of a
 //! former leader never matches a newer group.
@@ -22,6 +26,7 @@
 mod plan;
 mod reconciliation;
 mod registry;
+mod relay;
 mod reports;
 mod routing;
 mod state;
@@ -32,6 +37,10 @@
 pub use announcement::Stage;
 pub use call::Answer;
 pub use call::Call;
+pub use call::Digest;
+pub use call::Heard;
+pub use call::Overview;
+pub use call::Renewal;
 pub use call::Report;
 pub use core::Core;
 pub use event::Action;
@@ -47,6 +56,9 @@
 pub use plan::next_decision;
 pub use registry::Registry;
 pub use registry::Vm;
+pub use relay::Input;
+pub use relay::Relay;
+pub use routing::Controller;
 pub use routing::Table;
 pub use routing::Target;
 pub use state::Command;
--- a/src/domain/fleet/plan.rs
+++ b/src/domain/fleet/plan.rs
@@ -81,6 +81,27 @@
     pub has_traffic: bool,
 }
 
+impl Supply<'_> {
+    /// Changes the input as `decision` will, for the next decision.
+    pub fn record(&mut self, decision: &Decision) {
+        match decision {
+            Decision::Form { model, members } => {
+                let is_member = |c: &Candidate| members.iter().any(|m| m.id == c.id);
+                let loads = members.iter().filter(|m| !m.staged.contains(model)).count();
+                self.loads_in_progress += loads;
+                let domain = members.first().map(|m| m.domain.clone()).unwrap_or_default();
+                self.groups.push((model.clone(), domain));
+                self.candidates.retain(|c| !is_member(c));
+            }
+            Decision::Stage { model, vm } => {
+                self.loads_in_progress += 1;
+                let staged = self.candidates.iter_mut().filter(|c| c.id == vm.id);
+                staged.for_each(|c| c.staging = Some(model.clone()));
+            }
+        }
+    }
+}
+
 /// Next step of a service towards its groups.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
--- a/src/domain/fleet/reconciliation.rs
+++ b/src/domain/fleet/reconciliation.rs
@@ -31,6 +31,8 @@
 const LEAVE_ORDER_RETRY_INTERVAL: Duration = Duration::from_millis(1_300);
 /// Time after which a load that no heartbeat has shown as done counts as lost.
 const STAGING_TIMEOUT: Duration = Duration::from_secs(25);
+/// Decisions planned for a service in one reconciliation; more are planned once these are applied.
+const MAX_DECISIONS: usize = 16;
 /// Demand in groups that each model must exceed for a measurement to be reliable.
 const MIN_MEASURED_DEMAND_GROUPS: f64 = 0.3;
 
@@ -43,8 +45,7 @@
         self.expire_staging(now);
         self.advance_groups(now, out);
         self.release_orphaned_vms(now, out);
-        let mut gateways = self.gateways.values();
-        let has_demand = gateways.any(|g| !g.report.demand.is_empty());
+        let has_demand = self.fresh_digests(now).any(|d| !d.demand.is_empty());
         if !self.state.has_traffic && self.own_proposals.is_empty() && has_demand {
             self.propose(now, None, Command::Serve, out);
         }
@@ -147,6 +148,7 @@
             }
             let target = Target {
                 id: announcement.id.clone(),
+                incarnation: announcement.incarnation,
                 address: announcement.address.clone(),
                 zone: announcement.zone.clone(),
                 service: announcement.service.clone(),
@@ -188,13 +190,13 @@
             registry: &self.registry,
             timing: &self.timing,
             fence: self.node.term(),
-            head_answers: self.fresh_reports(now).any(|r| r.served.contains(head)),
-            head_stalled: self.fresh_reports(now).any(|r| r.stalled.contains(head)),
+            head_answers: self.fresh_digests(now).any(|d| d.served.contains_key(head)),
+            head_stalled: self.fresh_digests(now).any(|d| d.stalled.contains(head)),
             leading_since: self.leading_since.unwrap_or(now),
         }
     }
 
-    /// Plans and carries out at most one decision for each service with groups.
+    /// Plans and carries out decisions for each service with groups.
     fn plan_groups(&mut self, now: Duration, out: &mut Vec<Action>) {
         let Some(catalog) = self.state.catalog.as_ref() else {
             return;
@@ -208,7 +210,7 @@
             if candidates.is_empty() {
                 continue;
             }
-            let supply = Supply {
+            let mut supply = Supply {
                 engine,
                 candidates,
                 groups: self.groups_with_domains(service),
@@ -221,19 +223,29 @@
                 loads_in_progress: self.loads_in_progress(service),
                 has_traffic: self.state.has_traffic,
             };
-            match plan::next_decision(&supply) {
-                Some(Decision::Form { model, members }) => {
-                    let members = members.iter().filter_map(|c| self.member(&c.id)).collect();
-                    let command = Command::Form {
-                        service: service.name.clone(),
-                        model,
-                        members,
-                    };
-                    self.propose(now, None, command, out);
-                }
-                Some(Decision::Stage { model, vm }) => self.order_staging(now, &vm.id, model, out),
-                None => {}
+            for _ in 0..MAX_DECISIONS {
+                let Some(decision) = plan::next_decision(&supply) else {
+                    break;
+                };
+                supply.record(&decision);
+                self.carry_out(now, service, decision, out);
+            }
+        }
+    }
+
+    /// Proposes a planned group, or orders a planned load.
+    fn carry_out(&mut self, now: Duration, service: &Service, decision: Decision, out: &mut Vec<Action>) {
+        match decision {
+            Decision::Form { model, members } => {
+                let members = members.iter().filter_map(|c| self.member(&c.id)).collect();
+                let command = Command::Form {
+                    service: service.name.clone(),
+                    model,
+                    members,
+                };
+                self.propose(now, None, command, out);
             }
+            Decision::Stage { model, vm } => self.order_staging(now, &vm.id, model, out),
         }
     }
 
@@ -272,7 +284,7 @@
         let demand: BTreeMap<String, f64> = models
             .map(|model| {
                 let key = Demand::key(&service.name, &model.name);
-                let sum = self.fresh_reports(now).filter_map(|r| r.demand.get(&key)).sum();
+                let sum = self.fresh_digests(now).filter_map(|d| d.demand.get(&key)).sum();
                 (model.name.clone(), sum)
             })
             .collect();
@@ -389,6 +401,7 @@
             .find_map(|s| s.engine.as_ref().map(|e| e.slots));
         Target {
             id: head.id.clone(),
+            incarnation: head.incarnation,
             address: head.address.clone(),
             zone: head.zone.clone(),
             service: group.service.clone(),
--- a/src/domain/fleet/registry.rs
+++ b/src/domain/fleet/registry.rs
@@ -1,6 +1,7 @@
 //! Registry of VMs by their heartbeats.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use super::Announcement;
@@ -32,6 +33,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     vms: BTreeMap<String, Vm>,
+    /// Identifier of the VM that holds each address; a VM that is gone holds none.
+    holders: HashMap<String, String>,
     /// Incarnation of each VM that has left, so that a late heartbeat does not revive it.
     tombstones: BTreeMap<String, u64>,
     /// When a VM was last added.
@@ -43,8 +46,10 @@
     /// more than the sequence number and the remaining time of the cold start.
     ///
     /// Ignored are heartbeats of an older incarnation, those out of order, and those for an address
-    /// that a VM with a newer incarnation holds.
-    pub fn record_heartbeat(&mut self, now: Duration, announcement: Announcement) -> bool {
+    /// that a VM with a newer incarnation holds. `age` is the time since a controller received the
+    /// heartbeat.
+    pub fn record_heartbeat(&mut self, now: Duration, age: Duration, announcement: Announcement) -> bool {
+        let heard_at = now.saturating_sub(age);
         let tombstone = self.tombstones.get(&announcement.id);
         if tombstone.is_some_and(|incarnation| announcement.incarnation <= *incarnation) {
             return false;
@@ -55,32 +60,49 @@
                 return false;
             }
         }
-        let shares_address = |vm: &Vm| {
-            vm.announcement.address == announcement.address
-                && vm.announcement.id != announcement.id
-                && !vm.gone
-        };
-        let is_newer_at_address =
-            |vm: &Vm| shares_address(vm) && vm.announcement.incarnation > announcement.incarnation;
-        if self.vms.values().any(is_newer_at_address) {
-            return false;
-        }
-        for vm in self.vms.values_mut().filter(|vm| shares_address(vm)) {
-            vm.gone = true;
+        let holder = self.holders.get(&announcement.address);
+        if let Some(other) = holder.filter(|id| **id != announcement.id)
+            && let Some(other) = self.vms.get_mut(other)
+        {
+            if other.announcement.incarnation > announcement.incarnation {
+                return false;
+            }
+            other.gone = true;
         }
-        let cold_until = now + Duration::from_millis(announcement.cold_ms);
+        let id = announcement.id.clone();
+        let address = announcement.address.clone();
         let vm = Vm {
-            cold_until,
-            last_heartbeat: now,
+            cold_until: heard_at + Duration::from_millis(announcement.cold_ms),
+            last_heartbeat: heard_at,
             gone: false,
             announcement,
         };
-        let id = vm.announcement.id.clone();
-        let previous = self.vms.insert(id, vm.clone());
+        let previous = self.vms.get(&id);
+        let has_new_content = previous.is_none_or(|p| !has_same_content(p, &vm));
+        let previous_address = previous.map(|p| p.announcement.address.clone());
         if previous.is_none() {
             self.last_arrival = now;
         }
-        previous.is_none_or(|p| !has_same_content(&p, &vm))
+        if let Some(previous_address) = previous_address.filter(|p| *p != address) {
+            self.release_address(&previous_address, &id);
+        }
+        self.holders.insert(address, id.clone());
+        self.vms.insert(id, vm);
+        has_new_content
+    }
+
+    /// Records that a VM has sent a further heartbeat with the content of its last one.
+    ///
+    /// Ignored for an unknown VM, another incarnation, and a heartbeat out of order.
+    pub fn renew(&mut self, now: Duration, id: &str, incarnation: u64, sequence: u64) {
+        let Some(vm) = self.vms.get_mut(id) else {
+            return;
+        };
+        let announcement = &mut vm.announcement;
+        if announcement.incarnation == incarnation && announcement.sequence < sequence && !vm.gone {
+            announcement.sequence = sequence;
+            vm.last_heartbeat = now;
+        }
     }
 
     /// Marks a VM as gone; only a heartbeat of a newer incarnation adds it again.
@@ -89,14 +111,25 @@
             return;
         };
         vm.gone = true;
+        let address = vm.announcement.address.clone();
         if self.tombstones.len() < MAX_TOMBSTONES {
             self.tombstones.insert(id.to_owned(), vm.announcement.incarnation);
         }
+        self.release_address(&address, id);
+    }
+
+    /// Forgets that the VM `id` holds `address`, if it does.
+    fn release_address(&mut self, address: &str, id: &str) {
+        if self.holders.get(address).is_some_and(|holder| holder == id) {
+            self.holders.remove(address);
+        }
     }
 
     /// Removes VMs whose last heartbeat arrived before `cutoff`.
     pub fn evict_silent(&mut self, cutoff: Duration) {
         self.vms.retain(|_, vm| vm.last_heartbeat >= cutoff);
+        let vms = &self.vms;
+        self.holders.retain(|_, id| vms.contains_key(id));
     }
 
     /// When a VM was last added, by the controller's clock.
@@ -115,12 +148,8 @@
     }
 }
 
-/// Whether two heartbeats of a VM differ at most in the sequence number and the remaining time of the
-/// cold start. The start or end of a cold start and a change of [`Vm::gone`] count as new content.
+/// Whether the heartbeats of two states of a VM have the same content; a change of [`Vm::gone`] counts
+/// as new content.
 fn has_same_content(a: &Vm, b: &Vm) -> bool {
-    let (x, y) = (&a.announcement, &b.announcement);
-    let mut x = x.clone();
-    x.sequence = y.sequence;
-    x.cold_ms = y.cold_ms;
-    x == *y && (a.announcement.cold_ms == 0) == (b.announcement.cold_ms == 0) && a.gone == b.gone
+    a.gone == b.gone && a.announcement.has_content_of(&b.announcement)
 }
--- a/src/domain/fleet/reports.rs
+++ b/src/domain/fleet/reports.rs
@@ -1,83 +1,121 @@
-//! Reports of gateways and the routing tables that answer them (long polling).
+//! Digests of the controllers' relays and the overviews that answer them (long polling).
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use super::Announcement;
 use super::Answer;
+use super::Controller;
+use super::Digest;
 use super::Document;
-use super::Report;
+use super::Overview;
 use super::Table;
 use super::core::Core;
 use super::event::Action;
 use super::event::Ticket;
-
-/// Time for which a gateway's report on targets and demand counts.
-const REPORT_VALIDITY: Duration = Duration::from_millis(1_500);
-
-/// Gateway and its latest report.
-pub(super) struct Gateway {
-    pub(super) report: Report,
-    pub(super) reported_at: Duration,
-}
-
+use super::log_membership;
+
+/// Time for which a controller's digest counts.
+const DIGEST_VALIDITY: Duration = Duration::from_millis(1_500);
+/// Time without a digest after which a controller is forgotten, and the shares that its gateways have
+/// of limits go to the others.
+const PEER_EXPIRY: Duration = Duration::from_secs(20);
+/// Longest wait of a digest for a change, so the interval at which controllers without changes learn
+/// the load from each other.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Largest compressed catalog that a routing table carries. For a smaller one, a separate call costs
 /// more than its bytes in the table.
 const MAX_INLINE_CATALOG_BYTES: usize = 8 << 10;
 
-/// Fraction of shared limits that is split equally between gateways whatever their demand, so that
-/// a gateway whose callers have just arrived can serve them.
-const EQUAL_SHARE_FRACTION: f64 = 0.3;
+/// Latest digest of one controller.
+pub(super) struct Peer {
+    digest: Digest,
+    received_at: Duration,
+}
 
-/// Report that waits for a change before it is answered.
+/// Digest that waits for a change before it is answered.
 pub(super) struct Poll {
     ticket: Ticket,
-    gateway: String,
-    /// Term and revision of the targets that the gateway holds.
+    /// Address of the controller.
+    controller: String,
+    /// Term and revision of the targets that the controller holds.
     targets: (u64, u64),
-    /// Version of the catalog that the gateway holds.
+    /// Version of the catalog that the controller holds.
     version: u64,
-    /// Value of [`Core::zone_changes`] when the report arrived.
+    /// Value of [`Core::zone_changes`] when the digest arrived.
     zone_changes: usize,
     /// When it is answered without a change.
     deadline: Duration,
 }
 
-/// Sums over the reports of all gateways.
-struct Summary {
-    /// Requests in progress at each target.
-    running: BTreeMap<String, u32>,
-    /// Targets that some gateway reports as stalled and none as serving.
-    stalled: Vec<String>,
-    /// Requested work, in seconds of one group's time per second.
-    demand: f64,
-}
-
 impl Core {
-    /// Records a report and holds its answer until something has changed.
-    pub(super) fn receive_report(&mut self, now: Duration, ticket: Ticket, report: Report) {
+    /// Records a digest and holds its answer until something has changed.
+    pub(super) fn receive_digest(&mut self, now: Duration, ticket: Ticket, mut digest: Digest) {
+        for heard in std::mem::take(&mut digest.changed) {
+            self.record_heartbeat(now, Duration::from_millis(heard.age_ms), heard.announcement);
+        }
+        for renewal in std::mem::take(&mut digest.renewed) {
+            self.registry
+                .renew(now, &renewal.id, renewal.incarnation, renewal.sequence);
+        }
         self.polls.push(Poll {
             ticket,
-            gateway: report.gateway.clone(),
-            targets: report.targets,
-            version: report.version,
+            controller: digest.controller.address.clone(),
+            targets: digest.targets,
+            version: digest.version,
             zone_changes: self.zone_changes,
-            deadline: now + Duration::from_millis(self.timing.poll_ms),
+            deadline: now + DIGEST_INTERVAL,
         });
-        let gateway = Gateway {
-            reported_at: now,
-            report,
+        let address = digest.controller.address.clone();
+        let peer = Peer {
+            received_at: now,
+            digest,
         };
-        self.gateways.insert(gateway.report.gateway.clone(), gateway);
+        let previous = self.peers.insert(address.clone(), peer);
+        let previous_gateways = previous.map(|p| p.digest.gateways);
+        if previous_gateways.as_ref() != Some(&self.peers[&address].digest.gateways) {
+            self.count_gateways();
+        }
+    }
+
+    /// Forgets controllers, and with them their gateways, that have sent no digest for a long time.
+    pub(super) fn expire_peers(&mut self, now: Duration) {
+        let known = self.peers.len();
+        self.peers.retain(|_, p| now < p.received_at + PEER_EXPIRY);
+        if self.peers.len() < known {
+            self.count_gateways();
+        }
     }
 
-    /// Answers polls whose gateway has outdated data or whose deadline has passed.
+    /// Counts the gateways; one that has turned to another controller counts once.
+    fn count_gateways(&mut self) {
+        let gateways: BTreeSet<&String> = self.peers.values().flat_map(|p| &p.digest.gateways).collect();
+        self.gateway_count = gateways.len().max(1);
+    }
+
+    /// Records a heartbeat that a controller received `age` ago.
+    pub(super) fn record_heartbeat(&mut self, now: Duration, age: Duration, announcement: Announcement) {
+        let id = announcement.id.clone();
+        // After an unchanged heartbeat there is nothing to do before the next tick.
+        if !self.registry.record_heartbeat(now, age, announcement) {
+            return;
+        }
+        self.reconcile_due = true;
+        if let Some(group) = self.state.group_of(&id)
+            && let Some(lifecycle) = self.lifecycles.get_mut(&group.epoch)
+        {
+            lifecycle.allow_order_now(&id);
+        }
+    }
+
+    /// Answers digests whose sender has outdated data or whose deadline has passed.
     pub(super) fn answer_polls(&mut self, now: Duration, out: &mut Vec<Action>) {
         if self.polls.is_empty() {
             return;
         }
         let leads = self.leads(now);
         let revision = self.targets_revision();
-        let mut summary = None;
         for poll in std::mem::take(&mut self.polls) {
             if !leads {
                 out.push(self.redirect(poll.ticket));
@@ -87,10 +125,11 @@
             let has_new_catalog_or_zones =
                 poll.version < self.state.version() || poll.zone_changes != self.zone_changes;
             if has_new_targets || has_new_catalog_or_zones || now >= poll.deadline {
-                // A change answers many gateways at the same time, so the sums are computed once.
-                let summary = summary.get_or_insert_with(|| self.summarize(now));
-                let table = self.table(&poll, summary);
-                out.push(Action::Answer(poll.ticket, Answer::Table(Box::new(table))));
+                let overview = Overview {
+                    table: self.table(now, &poll),
+                    demand: self.fresh_digests(now).flat_map(|d| d.demand.values()).sum(),
+                };
+                out.push(Action::Answer(poll.ticket, Answer::Overview(Box::new(overview))));
             } else {
                 self.polls.push(poll);
             }
@@ -102,88 +141,70 @@
         (self.node.term(), self.revision)
     }
 
-    /// Routing table for the gateway of a poll.
-    fn table(&self, poll: &Poll, summary: &Summary) -> Table {
-        let own_report = self.gateways.get(&poll.gateway).map(|g| &g.report);
-        let mut running = summary.running.clone();
-        for (target, count) in own_report.iter().flat_map(|r| &r.running) {
-            if let Some(total) = running.get_mut(target) {
-                *total -= count;
+    /// Routing table for the controller of a poll.
+    fn table(&self, now: Duration, poll: &Poll) -> Table {
+        let mut running: BTreeMap<String, u32> = BTreeMap::new();
+        let others = self
+            .fresh_digests(now)
+            .filter(|d| d.controller.address != poll.controller);
+        for (target, count) in others.flat_map(|d| &d.running) {
+            match running.get_mut(target) {
+                Some(total) => *total += count,
+                None => drop(running.insert(target.clone(), *count)),
             }
         }
-        running.retain(|_, others| *others > 0);
         let revision = self.targets_revision();
-        let has_new_targets = poll.targets != revision;
         let document = self.state.document.as_ref();
         let is_inline = |d: &&Document| d.version > poll.version && d.raw.size() <= MAX_INLINE_CATALOG_BYTES;
         Table {
             revision,
-            targets: has_new_targets.then(|| self.targets.clone()),
+            targets: (poll.targets != revision).then(|| self.targets.clone()),
             closed: self.closed.clone(),
             zones_out: self.state.zones_out.iter().cloned().collect(),
             catalog: document.filter(is_inline).map(|d| d.raw.clone()),
             version: self.state.version(),
-            running,
-            stalled: summary.stalled.clone(),
-            share: self.share(own_report, summary.demand),
-            gateways: self.gateways.len().max(1),
-            controllers: self.controllers(),
-        }
-    }
-
-    /// Sums up the reports of all gateways.
-    fn summarize(&self, now: Duration) -> Summary {
-        let mut running: BTreeMap<String, u32> = BTreeMap::new();
-        for gateway in self.gateways.values() {
-            for (target, count) in &gateway.report.running {
-                *running.entry(target.clone()).or_default() += count;
-            }
-        }
-        Summary {
             running,
             stalled: self.stalled_targets(now),
-            demand: self.fresh_reports(now).map(total_demand).sum(),
+            gateways: self.gateway_count,
+            controllers: self.reachable_controllers(now),
+            ..Table::default()
         }
     }
 
-    /// Reports within [`REPORT_VALIDITY`].
-    pub(super) fn fresh_reports(&self, now: Duration) -> impl Iterator<Item = &Report> {
+    /// Digests within [`DIGEST_VALIDITY`].
+    pub(super) fn fresh_digests(&self, now: Duration) -> impl Iterator<Item = &Digest> {
         let fresh = self
-            .gateways
+            .peers
             .values()
-            .filter(move |g| now < g.reported_at + REPORT_VALIDITY);
-        fresh.map(|g| &g.report)
+            .filter(move |p| now < p.received_at + DIGEST_VALIDITY);
+        fresh.map(|p| &p.digest)
     }
 
-    /// Fraction of shared limits that a gateway gets: [`EQUAL_SHARE_FRACTION`] is split equally, the
-    /// rest by demand. Without any demand all of it is split equally.
-    ///
-    /// The fractions of all gateways add up to 1.
-    fn share(&self, own_report: Option<&Report>, total: f64) -> f64 {
-        let equal = 1.0 / self.gateways.len().max(1) as f64;
-        if total <= 0.0 {
-            return equal;
-        }
-        let by_demand = own_report.map_or(0.0, total_demand) / total;
-        EQUAL_SHARE_FRACTION * equal + (1.0 - EQUAL_SHARE_FRACTION) * by_demand
+    /// Members of the replicated log, with the availability zone of those that send digests.
+    fn reachable_controllers(&self, now: Duration) -> Vec<Controller> {
+        let (voters, learners) = self.node.journal().members();
+        let addresses = voters
+            .iter()
+            .chain(&learners)
+            .map(|m| log_membership::controller_address(m));
+        let controller = |address: &str| {
+            let digest = self.fresh_digests(now).find(|d| d.controller.address == address);
+            Controller {
+                address: address.to_owned(),
+                zone: digest.map(|d| d.controller.zone.clone()).unwrap_or_default(),
+            }
+        };
+        addresses.map(controller).collect()
     }
 
     /// Targets that some gateway reports as stalled and none as serving.
     fn stalled_targets(&self, now: Duration) -> Vec<String> {
-        let reported = self.fresh_reports(now).flat_map(|r| &r.stalled);
+        let reported = self.fresh_digests(now).flat_map(|d| &d.stalled);
         let mut stalled: Vec<String> = reported.cloned().collect();
         stalled.sort_unstable();
         stalled.dedup();
-        let is_served = |id: &String| {
-            self.fresh_reports(now)
-                .any(|r| r.served.contains(id) && !r.stalled.contains(id))
-        };
+        let is_served = |id: &String| self.fresh_digests(now).any(|d| d.served.get(id) == Some(&true));
         stalled.retain(|id| !is_served(id));
         stalled
     }
 }
-
-/// Demand of a gateway over all services and models.
-fn total_demand(report: &Report) -> f64 {
-    report.demand.values().sum()
-}
--- a/src/domain/fleet/routing.rs
+++ b/src/domain/fleet/routing.rs
@@ -12,6 +12,9 @@
 pub struct Target {
     /// Identifier of the VM.
     pub id: String,
+    /// Incarnation of the VM; a restart under the same identifier increases it.
+    #[serde(default)]
+    pub incarnation: u64,
     /// Address that accepts requests.
     pub address: String,
     /// Availability zone.
@@ -26,6 +29,15 @@
     pub cold: bool,
 }
 
+/// Controller that gateways and VMs may call.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Controller {
+    /// Address for the system's own processes.
+    pub address: String,
+    /// Availability zone; empty while the leader has not heard from the controller.
+    pub zone: String,
+}
+
 /// Routing table for one gateway, the answer to its report.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Table {
@@ -50,6 +62,9 @@
     pub share: f64,
     /// Number of gateways that share limits, at least 1.
     pub gateways: usize,
-    /// Addresses of the controllers.
-    pub controllers: Vec<String>,
+    /// Members of the replicated log.
+    pub controllers: Vec<Controller>,
+    /// Age of this information when the report arrived, in milliseconds: the time since the controller
+    /// that answers asked the leader for it.
+    pub age_ms: u64,
 }
--- a/src/domain/fleet/state.rs
+++ b/src/domain/fleet/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -135,6 +136,9 @@
     pub has_traffic: bool,
     /// VMs that accept requests on their own, of services without groups, by identifier.
     pub listed: BTreeMap<String, Target>,
+    /// Epoch of the group of each member, by VM; rebuilt after a restore instead of stored.
+    #[serde(skip)]
+    epochs_by_vm: HashMap<String, u64>,
 }
 
 impl State {
@@ -145,9 +149,7 @@
 
     /// Group that a VM is a member of.
     pub fn group_of(&self, vm: &str) -> Option<&Group> {
-        self.groups
-            .values()
-            .find(|g| g.members.iter().any(|m| m.id == vm))
+        self.groups.get(self.epochs_by_vm.get(vm)?)
     }
 
     /// Applies the command at log index `index`.
@@ -195,7 +197,10 @@
                 self.listed.remove(id);
             }
             Command::Dissolve { epoch } => {
-                self.groups.remove(epoch);
+                let dissolved = self.groups.remove(epoch);
+                for member in dissolved.iter().flat_map(|g| &g.members) {
+                    self.epochs_by_vm.remove(&member.id);
+                }
             }
         }
     }
@@ -207,6 +212,11 @@
         }
         let mut state: State = serde_json::from_str(text).expect("a snapshot that was verified decodes");
         state.decode_catalog();
+        for group in state.groups.values() {
+            let members = group.members.iter().map(|m| (m.id.clone(), group.epoch));
+            state.epochs_by_vm.extend(members);
+        }
+        state.assert_members_disjoint();
         state
     }
 
@@ -229,16 +239,15 @@
             opened: false,
             closing: false,
         };
+        self.epochs_by_vm
+            .extend(members.iter().map(|m| (m.id.clone(), index)));
         self.groups.insert(index, group);
         self.assert_members_disjoint();
     }
 
     /// Panics when a VM belongs to two groups.
     fn assert_members_disjoint(&self) {
-        let mut seen = BTreeSet::new();
-        let members = self.groups.values().flat_map(|g| &g.members);
-        for member in members {
-            assert!(seen.insert(&member.id), "VM {} belongs to two groups", member.id);
-        }
+        let members: usize = self.groups.values().map(|g| g.members.len()).sum();
+        assert_eq!(members, self.epochs_by_vm.len(), "a VM belongs to two groups");
     }
 }
--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -5,7 +5,8 @@
 //! availability zone when loads are nearly equal. A target is ejected when it fails several times in a
 //! row, stalls once, or answers 421 because it is not the upstream that the request was addressed to.
 //! The duration doubles with each ejection.
-//! When no target of a service is healthy, all of them are tried.
+//! When no target of a service is healthy, all of them are tried, except those that shut down or have
+//! asked for a pause.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -23,6 +24,8 @@
 const LOCAL_ZONE_BONUS: f64 = 0.04;
 /// Time after an answer or event during which a gateway reports a target as serving.
 const SERVED_WINDOW: Duration = Duration::from_millis(1_000);
+/// Time for which a gateway remembers that a target shuts down; by then its process has ended.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 
 /// How a send ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,6 +44,15 @@
     Abandoned,
 }
 
+/// What an upstream says of itself with an answer, whatever its status.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Notice {
+    /// The upstream is shutting down.
+    pub is_leaving: bool,
+    /// The upstream wants no request from this gateway for this time.
+    pub pause: Option<Duration>,
+}
+
 /// Criteria by which a target is chosen for a request.
 #[derive(Clone, Debug)]
 pub struct Criteria<'a> {
@@ -85,6 +97,13 @@
     zones_out: Vec<String>,
     /// Number of gateways that share limits, at least 1.
     gateways: usize,
+    /// Targets that have said that they shut down, by identifier and incarnation, and when they did.
+    ///
+    /// The leader learns it from the target too, but may be out of this gateway's reach, and may list
+    /// the target again before it has heard from it.
+    leaving: BTreeMap<(String, u64), Duration>,
+    /// Ends of the pauses that targets have asked for, by identifier.
+    paused_until: BTreeMap<String, Duration>,
     /// This gateway's share, 0 to 1, of limits that apply to all gateways together.
     share: f64,
 }
@@ -101,6 +120,8 @@
             trackers: BTreeMap::new(),
             zones_out: Vec::new(),
             gateways: 1,
+            leaving: BTreeMap::new(),
+            paused_until: BTreeMap::new(),
             share: 1.0,
         }
     }
@@ -110,6 +131,8 @@
         if let Some(targets) = &table.targets {
             self.replace_targets(now, targets);
         }
+        self.leaving.retain(|_, at| now < *at + LEAVING_RETENTION);
+        self.paused_until.retain(|_, until| now < *until);
         self.zones_out.clone_from(&table.zones_out);
         self.gateways = table.gateways.max(1);
         self.share = table.share;
@@ -163,7 +186,9 @@
             .collect();
         let pool = if untried.is_empty() { pool } else { &untried };
         let is_free = |t: &&&Tracker| {
-            self.has_room(t, criteria.reserve) && self.is_within_rate(now, t, criteria.service)
+            self.has_room(t, criteria.reserve)
+                && self.is_within_rate(now, t, criteria.service)
+                && self.pause_of(now, t).is_zero()
         };
         let free: Vec<&Tracker> = pool.iter().filter(is_free).copied().collect();
         match self.least_loaded(&free, criteria.draw) {
@@ -171,7 +196,10 @@
                 target: tracker.target.clone(),
                 load: tracker.load(),
             },
-            None => Choice::Full(time_until_room(pool, criteria)),
+            None => {
+                let shortest_pause = pool.iter().map(|t| self.pause_of(now, t)).min();
+                Choice::Full(time_until_room(pool, criteria).max(shortest_pause.unwrap_or_default()))
+            }
         }
     }
 
@@ -247,6 +275,34 @@
             .retain(|_, t| t.running > 0 || !t.target.service.is_empty());
     }
 
+    /// Records what `target` said of itself with an answer; returns whether it was not known yet.
+    pub fn record_notice(&mut self, now: Duration, target: &Target, notice: Notice) -> bool {
+        let mut is_new = false;
+        if notice.is_leaving {
+            let incarnation = (target.id.clone(), target.incarnation);
+            is_new |= self.leaving.insert(incarnation, now).is_none();
+        }
+        if let Some(pause) = notice.pause {
+            let until = self.paused_until.entry(target.id.clone()).or_default();
+            is_new |= *until <= now;
+            *until = (*until).max(now + pause);
+        }
+        is_new
+    }
+
+    fn is_leaving(&self, target: &Target) -> bool {
+        !self.leaving.is_empty()
+            && self
+                .leaving
+                .contains_key(&(target.id.clone(), target.incarnation))
+    }
+
+    /// Time for which a target still wants no request.
+    fn pause_of(&self, now: Duration, tracker: &Tracker) -> Duration {
+        let until = self.paused_until.get(&tracker.target.id);
+        until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
+    }
+
     fn eject(&mut self, now: Duration, id: &str) {
         if let Some(tracker) = self.trackers.get_mut(id) {
             tracker.ejected_until = now + self.settings.ejection_time(tracker.ejections);
@@ -286,6 +342,7 @@
         tracker.target.service == criteria.service.name
             && (tracker.target.model.is_none() || tracker.target.model.as_deref() == criteria.model)
             && !tracker.closed
+            && !self.is_leaving(&tracker.target)
             && !self.zones_out.contains(&tracker.target.zone)
     }
 
--- a/src/domain/gateway/mod.rs
+++ b/src/domain/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub use balance::Balancer;
 pub use balance::Choice;
 pub use balance::Criteria;
+pub use balance::Notice;
 pub use balance::Outcome;
 pub use budget::Budget;
 pub use demand::Demand;
--- a/src/fleet/join.rs
+++ b/src/fleet/join.rs
@@ -7,6 +7,7 @@
 use super::Status;
 use crate::adapters::fleet::Client;
 use crate::domain::fleet::Call;
+use crate::domain::fleet::Controller;
 use crate::logging;
 
 /// Interval between checks of the membership.
@@ -28,7 +29,11 @@
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let current_status = status.lock().expect("no panic under this lock").clone();
-        client.set_controllers(&current_status.controllers);
+        let controllers = current_status.controllers.iter().map(|address| Controller {
+            address: address.clone(),
+            zone: String::new(),
+        });
+        client.set_controllers(&controllers.collect::<Vec<_>>());
         if current_status.is_member && current_status.leader.is_some() {
             checks_without_leader = 0;
             continue;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod messenger;
 mod metrics;
 mod peer;
+mod relay;
 mod run;
 mod web;
 
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -1,6 +1,7 @@
 //! QUIC server for gateways and other controllers.
 
 use super::Mailbox;
+use super::relay::Relay;
 use crate::adapters::quic;
 use crate::adapters::quic::Stream;
 use crate::adapters::wire;
@@ -10,9 +11,10 @@
 use crate::domain::fleet::Event;
 
 /// Answers requests of gateways and other controllers.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(super) struct Server {
     pub(super) mailbox: Mailbox,
+    pub(super) relay: Relay,
     /// Identity of this controller.
     pub(super) identity: String,
 }
@@ -32,7 +34,10 @@
             Some(Request::Consensus(envelope)) => self.receive_consensus(envelope),
             Some(Request::Fleet(call)) => match serde_json::from_slice::<Call>(&call.call_json) {
                 Ok(call) => {
-                    let answer = self.mailbox.ask(|ticket| Event::Call { ticket, call }).await;
+                    let answer = match call {
+                        Call::Report(report) => self.relay.report(report).await,
+                        call => self.mailbox.ask(|ticket| Event::Call { ticket, call }).await,
+                    };
                     Reply::FleetJson(serde_json::to_vec(&answer).expect("answers have string keys"))
                 }
                 Err(e) => Reply::Error(e.to_string()),
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -19,6 +19,7 @@
 use super::messenger::Messenger;
 use super::metrics::Metrics;
 use super::peer;
+use super::relay::Relay;
 use super::web;
 use crate::adapters::clock;
 use crate::adapters::disk;
@@ -30,6 +31,8 @@
 use crate::adapters::quic::Credentials;
 use crate::adapters::quic::Pool;
 use crate::domain::consensus::Recovery;
+use crate::domain::fleet;
+use crate::domain::fleet::Controller;
 use crate::domain::fleet::Core;
 use crate::domain::fleet::Event;
 use crate::logging;
@@ -61,7 +64,8 @@
     let (folder, identity, recovery) = open_folder(&settings).await?;
     let pool = Pool::new(&keys).change_context(Error::Keys)?;
     let seeds = settings.peer_seeds();
-    let client = Client::new(pool.clone(), &seeds);
+    let zone = settings.availability_zone.as_str();
+    let client = Client::new(pool.clone(), &seeds, zone);
     let (mailbox, events) = Mailbox::new();
     let metrics = Metrics::new();
     let status: Arc<Mutex<Status>> = Arc::default();
@@ -75,6 +79,11 @@
     let mut timing = settings.fleet.clone();
     timing.voters = settings.voters();
     let consensus = settings.consensus.clone();
+    let controller = Controller {
+        address: settings.peer_address().to_string(),
+        zone: zone.to_owned(),
+    };
+    let relay = Relay::new(fleet::Relay::new(controller, timing.clone()));
     let core = Core::new(
         &identity,
         timing,
@@ -89,6 +98,7 @@
         .change_context(Error::Listen)?;
     let server = peer::Server {
         mailbox: mailbox.clone(),
+        relay: relay.clone(),
         identity: identity.clone(),
     };
     let endpoint = quic::serve(settings.peer_address(), &keys, move |request, stream| {
@@ -98,6 +108,7 @@
     let server = Arc::new(web::Server {
         mailbox: mailbox.clone(),
         client: client.clone(),
+        relay: relay.clone(),
         metrics,
         port: settings.listen.port(),
         own_address: settings.listen,
@@ -112,6 +123,7 @@
             .await
             .change_context(Error::Listen)?;
     }
+    tokio::spawn(relay.run(mailbox.clone(), client.clone(), settings.peer_address()));
     tokio::spawn(join::ensure_joined(client, identity.clone(), status));
     logging::PROCESS_STARTED.log_fields(&[
         ("program", "fleet".into()),
--- a/src/fleet/web.rs
+++ b/src/fleet/web.rs
@@ -13,9 +13,11 @@
 
 use super::Mailbox;
 use super::metrics::Metrics;
+use super::relay::Relay;
 use crate::adapters::fleet::Client;
 use crate::adapters::http1::Body;
 use crate::domain::catalog::Catalog;
+use crate::domain::fleet::Announcement;
 use crate::domain::fleet::Answer;
 use crate::domain::fleet::Call;
 use crate::domain::fleet::Document;
@@ -36,6 +38,7 @@
 pub(super) struct Server {
     pub(super) mailbox: Mailbox,
     pub(super) client: Client,
+    pub(super) relay: Relay,
     pub(super) metrics: Metrics,
     /// Port on which every controller serves VMs and operators.
     pub(super) port: u16,
@@ -82,7 +85,10 @@
                     return reply(StatusCode::BAD_REQUEST, reason);
                 }
             },
-            path::Call::Leave(id) => Call::Leave { id: id.to_owned() },
+            path::Call::Leave(id) => {
+                self.relay.forget(id);
+                Call::Leave { id: id.to_owned() }
+            }
             path::Call::Unknown => return reply(StatusCode::NOT_FOUND, "no such call"),
         };
         match self.ask(call).await {
@@ -96,17 +102,23 @@
         }
     }
 
-    async fn announce(&self, announcement: crate::domain::fleet::Announcement) -> Response<Body> {
-        match self.ask(Call::Announce(Box::new(announcement))).await {
-            Some(Answer::Done) => {
-                let leader = self
-                    .client
-                    .leader()
-                    .map_or(self.own_address, |l| SocketAddr::new(l.ip(), self.port));
-                reply(StatusCode::OK, heartbeat::encode_answer(leader))
-            }
-            _ => reply(StatusCode::SERVICE_UNAVAILABLE, "no leader in reach"),
+    /// Passes a heartbeat on to the leader. Only the leader acknowledges that a VM shuts down, so such a
+    /// heartbeat waits for its answer.
+    async fn announce(&self, announcement: Announcement) -> Response<Body> {
+        let zone = announcement.zone.clone();
+        let announcement = Box::new(announcement);
+        let is_acknowledged = if announcement.draining {
+            self.relay.forget(&announcement.id);
+            matches!(self.ask(Call::Announce(announcement)).await, Some(Answer::Done))
+        } else {
+            self.relay.take_heartbeat(announcement).await
+        };
+        if !is_acknowledged {
+            return reply(StatusCode::SERVICE_UNAVAILABLE, "no leader in reach");
         }
+        let controller = self.relay.controller_in(&zone);
+        let next = controller.map_or(self.own_address, |c| SocketAddr::new(c.ip(), self.port));
+        reply(StatusCode::OK, heartbeat::encode_answer(next))
     }
 
     /// Calls the core of this controller, and the leader if the core redirects there. None without an
@@ -126,7 +138,7 @@
         match answer {
             Answer::Redirect(_) => None,
             answer => {
-                self.client.set_leader(leader);
+                self.client.set_leader(Some(leader));
                 Some(answer)
             }
         }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -36,8 +36,7 @@
     budget: Mutex<Budget>,
     demand: Mutex<Demand>,
     catalog: Mutex<Option<Arc<Catalog>>>,
-    /// Start of the catalog's lease: when the last report that the leader answered was sent, in
-    /// milliseconds of the process's clock.
+    /// Start of the catalog's lease, in milliseconds of the process's clock.
     lease_start_ms: AtomicU64,
     /// Whether the leader has ever sent targets.
     has_targets: AtomicBool,
@@ -91,10 +90,10 @@
         *self.catalog.lock().expect("no panic under this lock") = Some(catalog);
     }
 
-    /// Renews the catalog's lease from `sent_at`, when the report that the leader answered was sent.
-    pub(super) fn renew_lease(&self, sent_at: Duration, has_targets: bool) {
+    /// Renews the catalog's lease from `confirmed_at`, a time before the leader stated its version.
+    pub(super) fn renew_lease(&self, confirmed_at: Duration, has_targets: bool) {
         self.lease_start_ms
-            .store(sent_at.as_millis() as u64, Ordering::Relaxed);
+            .fetch_max(confirmed_at.as_millis() as u64, Ordering::Relaxed);
         if has_targets {
             self.has_targets.store(true, Ordering::Relaxed);
         }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -272,6 +272,7 @@
         connection: Connection,
         send: Send,
     ) -> Delivery {
+        send.record_notice(&response);
         match classify(self.request, &response) {
             Classification::NotRun(outcome) => {
                 self.end_failed(send, outcome, "refused by the target");
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -54,7 +54,10 @@
     let keys = Credentials::load(&settings.keys).change_context(Error::Keys)?;
     let pool = Pool::new(&keys).change_context(Error::Keys)?;
     let seeds = settings.peer_seeds();
-    let context = Arc::new(Context::new(&settings, Client::new(pool, &seeds)));
+    let context = Arc::new(Context::new(
+        &settings,
+        Client::new(pool, &seeds, &settings.availability_zone),
+    ));
     let shared = context.clone();
     let handler = move |request| caller::handle(shared.clone(), request);
     let server = http1::serve(settings.listen, MAX_HEAD_BYTES, IDLE_TIMEOUT, handler)
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -15,7 +15,9 @@
 use crate::adapters::clock;
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Target;
+use crate::domain::gateway::Notice;
 use crate::domain::gateway::Outcome;
+use crate::logging;
 use crate::platform::header as platform_header;
 
 /// Guard of one send in progress at a target.
@@ -39,6 +41,28 @@
         }
     }
 
+    /// Records what the target says of itself with an answer.
+    pub(super) fn record_notice<B>(&self, response: &Response<B>) {
+        let notice = notice(response);
+        if notice == Notice::default() {
+            return;
+        }
+        let is_new = self
+            .context
+            .balancer()
+            .record_notice(clock::now(), &self.target, notice);
+        if !is_new {
+            return;
+        }
+        let pause_ms = notice.pause.unwrap_or_default().as_millis() as u64;
+        logging::TARGET_NOTICE.log_fields(&[
+            ("target", self.target.id.as_str().into()),
+            ("incarnation", self.target.incarnation.into()),
+            ("leaving", notice.is_leaving.into()),
+            ("pause_ms", pause_ms.into()),
+        ]);
+    }
+
     /// Ends the send with `outcome`.
     pub(super) fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -86,6 +110,21 @@
     Classification::Own
 }
 
+/// What the target of an answer says of itself.
+pub(super) fn notice<B>(response: &Response<B>) -> Notice {
+    let headers = response.headers();
+    let is_unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let retry_after = headers
+        .get(platform_header::RETRY_AFTER)
+        .filter(|_| is_unavailable);
+    Notice {
+        is_leaving: headers.contains_key(platform_header::LEAVING),
+        pause: retry_after
+            .and_then(|v| v.to_str().ok())
+            .and_then(platform_header::parse_retry_after),
+    }
+}
+
 /// Request to one target; with `last_event`, asks for the events of a stream that follow it.
 ///
 /// None if the request or the target's identifier cannot be encoded.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -270,6 +270,7 @@
                     continue;
                 }
             };
+            send.record_notice(&response);
             match classify(&self.request, &response) {
                 Classification::NotRun(outcome) => send.end(outcome),
                 Classification::Own if response.status().is_success() => {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -1,6 +1,6 @@
-//! Synchronization with the leading controller: reports to it and updates from its answers.
+//! Synchronization with the controllers: reports to one of them and updates from its answers.
 //!
-//! The leader holds a report until something has changed or its poll interval has passed, so the
+//! The controller holds a report until something has changed or its poll interval has passed, so the
 //! gateway sends the next one right after the answer.
 
 use std::path::PathBuf;
@@ -18,7 +18,7 @@
 use crate::logging;
 use crate::settings;
 
-/// Time limit for the answer to a report; the leader's poll interval must be shorter.
+/// Time limit for the answer to a report; the controller's poll interval must be shorter.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(450);
 /// Time limit for a catalog from the first controller; it grows by the same amount with each further
 /// attempt. A megabyte takes 0.4 s at 20 Mbit/s.
@@ -43,24 +43,25 @@
     failures: u32,
 }
 
-/// Reports to the leader and applies its answers until the process ends.
+/// Reports to a controller and applies its answers until the process ends.
 pub(super) async fn run(context: Arc<Context>, name: String, settings_file: Option<PathBuf>) {
-    // The leader keeps one report for each identity, so two processes must not share one, even if
+    // Controllers keep one report for each identity, so two processes must not share one, even if
     // their settings have the same name or one is a restart of the other.
     let identity = format!("{name}#{:08x}", rand::random::<u32>());
     let mut state = State::default();
     loop {
         let sent_at = clock::now();
         let call = Call::Report(Box::new(build_report(&context, &identity, &state)));
-        if let Some(Answer::Table(table)) = context.controllers.call(&call, REPORT_TIMEOUT).await {
+        if let Some(Answer::Table(table)) = context.controllers.call_relay(&call, REPORT_TIMEOUT).await {
             context.metrics.reports.with_label_values(&["answered"]).inc();
             if let Some(compressed) = &table.catalog {
                 apply_catalog(&context, &mut state, compressed);
             } else if table.version > state.version {
                 fetch_catalog(&context, &mut state).await;
             }
-            apply_table(&context, &mut state, sent_at, &table);
-            continue;
+            if apply_table(&context, &mut state, sent_at, &table) {
+                continue;
+            }
         }
         context.metrics.reports.with_label_values(&["failed"]).inc();
         state.failures += 1;
@@ -135,12 +136,14 @@
     Catalog::try_from(definition).map_err(|e| e.to_string())
 }
 
-/// Applies a table that answers the report sent at `sent_at`.
-fn apply_table(context: &Context, state: &mut State, sent_at: Duration, table: &Table) {
+/// Applies a table that answers the report sent at `sent_at`; returns false for one that must not be
+/// applied.
+fn apply_table(context: &Context, state: &mut State, sent_at: Duration, table: &Table) -> bool {
     // Without the catalog of the table's version, the lease must not be renewed: the older catalog may
-    // hold keys that have been withdrawn.
-    if table.version > state.version {
-        return;
+    // hold keys that have been withdrawn. A controller that is behind the last one may name targets
+    // that have been closed since.
+    if table.version > state.version || table.revision < state.revision {
+        return false;
     }
     if let Some(targets) = &table.targets {
         state.revision = table.revision;
@@ -153,7 +156,8 @@
         ]);
     }
     context.balancer().update(clock::now(), table);
-    context.renew_lease(sent_at, table.targets.is_some());
+    let confirmed_at = sent_at.saturating_sub(Duration::from_millis(table.age_ms));
+    context.renew_lease(confirmed_at, table.targets.is_some());
     context.controllers.set_controllers(&table.controllers);
     context.room.notify_waiters();
     state.failures = 0;
@@ -164,6 +168,7 @@
             ("version", state.version.into()),
         ]);
     }
+    true
 }
 
 /// Reads the settings file again and takes its controllers as seeds.
--- a/src/logging/catalogue.rs
+++ b/src/logging/catalogue.rs
@@ -222,6 +222,13 @@
     name: "target_ejected",
     module: "gateway",
 };
+/// A target has said that it shuts down or wants no requests for a while.
+pub const TARGET_NOTICE: Event = Event {
+    code: 411,
+    level: Level::Info,
+    name: "target_notice",
+    module: "gateway",
+};
 /// This controller became the leader or lost the leadership.
 pub const FLEET_LEADERSHIP: Event = Event {
     code: 501,
@@ -333,6 +340,7 @@
     SEND_FAILED,
     REQUESTS_SUMMED,
     TARGET_EJECTED,
+    TARGET_NOTICE,
     FLEET_LEADERSHIP,
     FLEET_COMMITTED,
     GROUP_OPENED,
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -1,5 +1,7 @@
 //! Header names on requests and answers.
 
+use std::time::Duration;
+
 /// Identifier of one attempt, set by the caller; its echo shows which request an answer belongs to.
 pub const ATTEMPT_ID: &str = "x-attempt-id";
 /// Time that the caller waits, or, from the gateway to an upstream, the time left, in milliseconds.
@@ -12,6 +14,10 @@
 pub const ACCOUNT: &str = "x-tenant";
 /// Present on an answer if the upstream did not run the request.
 pub const NOT_RUN: &str = "x-not-executed";
+/// Present on every answer of an upstream that is shutting down.
+pub const LEAVING: &str = "server-leaving";
+/// On a 503 of an upstream: seconds for which it wants no request from this gateway.
+pub const RETRY_AFTER: &str = "retry-after";
 /// Model that the request asks for.
 pub const MODEL: &str = "x-model";
 /// Prompt tokens and maximum answer tokens, separated by a comma.
@@ -28,3 +34,9 @@
     let (prompt, answer) = value.split_once(',')?;
     Some((prompt.trim().parse().ok()?, answer.trim().parse().ok()?))
 }
+
+/// Parses the value of [`RETRY_AFTER`]; none for a date or an unreadable number.
+pub fn parse_retry_after(value: &str) -> Option<Duration> {
+    let seconds: f64 = value.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
--- a/src/settings/fleet.rs
+++ b/src/settings/fleet.rs
@@ -17,6 +17,8 @@
 pub struct Fleet {
     /// Name of this VM.
     pub name: String,
+    /// Availability zone of this VM; gateways and VMs prefer the controller in theirs.
+    pub availability_zone: String,
     /// Folder of the replicated log.
     pub data_folder: String,
     /// Whether a seed with an empty data folder starts a new log, as on a first installation.
@@ -43,6 +45,7 @@
     fn default() -> Self {
         Fleet {
             name: "fleet".to_owned(),
+            availability_zone: String::new(),
             data_folder: "data".to_owned(),
             first_start: false,
             listen: SocketAddr::from(([127, 0, 0, 1], 8090)),
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -10,6 +10,7 @@
 use heatherramp::domain::gateway::Budget;
 use heatherramp::domain::gateway::Choice;
 use heatherramp::domain::gateway::Criteria;
+use heatherramp::domain::gateway::Notice;
 use heatherramp::domain::gateway::Outcome;
 use heatherramp::domain::gateway::Settings;
 use heatherramp::domain::gateway::Splitter;
@@ -31,6 +32,7 @@
 fn target(id: &str, zone: &str) -> Target {
     Target {
         id: id.to_owned(),
+        incarnation: 1,
         address: "127.0.0.1:1".to_owned(),
         zone: zone.to_owned(),
         service: "engine".to_owned(),
@@ -340,3 +342,63 @@
     assert!(times.windows(2).all(|w| w[0] < w[1]));
     assert!(times[9] - times[0] > ms(500));
 }
+
+fn ask(balancer: &Balancer, now: u64, service: &Service) -> Choice {
+    balancer.choose(ms(now), &criteria(service, &[]))
+}
+
+/// A target that shuts down gets no further request, although the leader still lists it and nothing else
+/// is left; a new process under the same identifier does.
+#[test]
+fn a_target_that_says_that_it_leaves_gets_no_further_request() {
+    let service = service(0.0);
+    let mut balancer = Balancer::new("z1", 1, Settings::default());
+    balancer.update(ms(0), &table(vec![target("a", "z1"), target("b", "z1")]));
+    let notice = Notice {
+        is_leaving: true,
+        pause: None,
+    };
+    assert!(balancer.record_notice(ms(10), &target("a", "z1"), notice));
+    assert!(!balancer.record_notice(ms(20), &target("a", "z1"), notice));
+    for draw in 0..20 {
+        let criteria = Criteria {
+            draw,
+            ..criteria(&service, &[])
+        };
+        assert_eq!(chosen_id(balancer.choose(ms(30), &criteria)), "b");
+    }
+    balancer.record_notice(ms(40), &target("b", "z1"), notice);
+    assert_eq!(ask(&balancer, 50, &service), Choice::NoTarget);
+    // Listed again, by a leader that has not heard of it.
+    balancer.update(ms(60), &table(Vec::new()));
+    balancer.update(ms(70), &table(vec![target("a", "z1")]));
+    assert_eq!(ask(&balancer, 80, &service), Choice::NoTarget);
+    let restarted = Target {
+        incarnation: 2,
+        ..target("a", "z1")
+    };
+    balancer.update(ms(90), &table(vec![restarted]));
+    assert_eq!(chosen_id(ask(&balancer, 100, &service)), "a");
+}
+
+#[test]
+fn a_target_that_asks_for_a_pause_gets_no_request_until_its_end() {
+    let service = service(0.0);
+    let mut balancer = Balancer::new("z1", 1, Settings::default());
+    balancer.update(ms(0), &table(vec![target("a", "z1"), target("b", "z1")]));
+    let pause = |ms| Notice {
+        is_leaving: false,
+        pause: Some(Duration::from_millis(ms)),
+    };
+    balancer.record_notice(ms(0), &target("a", "z1"), pause(2_000));
+    // A shorter one does not end it early.
+    balancer.record_notice(ms(10), &target("a", "z1"), pause(100));
+    assert_eq!(chosen_id(ask(&balancer, 500, &service)), "b");
+    balancer.record_notice(ms(500), &target("b", "z1"), pause(1_000));
+    // Refused with the time until the first of the two takes requests again.
+    assert_eq!(ask(&balancer, 600, &service), Choice::Full(ms(900)));
+    // A table in between changes nothing.
+    balancer.update(ms(700), &table(vec![target("a", "z1"), target("b", "z1")]));
+    assert_eq!(ask(&balancer, 1_499, &service), Choice::Full(ms(50)));
+    assert_eq!(chosen_id(ask(&balancer, 1_501, &service)), "b");
+}
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -21,9 +21,13 @@
 use heatherramp::domain::fleet::Action;
 use heatherramp::domain::fleet::Answer;
 use heatherramp::domain::fleet::Call;
+use heatherramp::domain::fleet::Controller;
 use heatherramp::domain::fleet::Core;
+use heatherramp::domain::fleet::Digest;
 use heatherramp::domain::fleet::Document;
 use heatherramp::domain::fleet::Event;
+use heatherramp::domain::fleet::Input;
+use heatherramp::domain::fleet::Relay;
 use heatherramp::domain::fleet::Report;
 use heatherramp::domain::fleet::Timing;
 use rand::Rng;
@@ -139,32 +143,73 @@
     answers.collect()
 }
 
+/// Relay of the leading controller, with the overview that answers its first digest.
+fn relay_of(core: &mut Core, now: Duration) -> Relay {
+    let controller = Controller {
+        address: "a".to_owned(),
+        zone: "z".to_owned(),
+    };
+    let mut relay = Relay::new(controller, Timing::default());
+    let digest = relay.digest(now);
+    let overviews = answers(send_digest(core, now, digest));
+    assert!(answer_relay(&mut relay, now, overviews).is_empty());
+    relay
+}
+
+fn send_digest(core: &mut Core, now: Duration, digest: Digest) -> Vec<Action> {
+    let (ticket, call) = (0, Call::Digest(Box::new(digest)));
+    core.step(now, Event::Call { ticket, call })
+}
+
+/// Passes the leader's overviews to a relay; returns its answers to gateways.
+fn answer_relay(relay: &mut Relay, now: Duration, overviews: Vec<Answer>) -> Vec<Answer> {
+    let mut out = Vec::new();
+    for answer in overviews {
+        let Answer::Overview(overview) = answer else {
+            continue;
+        };
+        out.extend(relay.step(now, Input::Overview(now, overview)));
+    }
+    out.into_iter().map(|(_, answer)| answer).collect()
+}
+
+fn send_report(relay: &mut Relay, now: Duration, report: Report) -> Vec<Answer> {
+    let out = relay.step(now, Input::Report(1, Box::new(report)));
+    out.into_iter().map(|(_, answer)| answer).collect()
+}
+
 #[test]
 fn a_change_of_a_large_catalog_reaches_all_gateways_through_small_tables() {
     let (mut core, now) = leader();
     submit_new_catalog(&mut core, now, 1);
-    let mut report = |gateway: usize, targets| {
-        let report = Report {
-            gateway: format!("gateway-{gateway}"),
-            targets,
-            version: 1,
-            ..Report::default()
-        };
-        let (ticket, call) = (gateway as u64, Call::Report(Box::new(report)));
-        answers(core.step(now, Event::Call { ticket, call }))
+    let mut relay = relay_of(&mut core, now);
+    let report = |gateway: usize, targets| Report {
+        gateway: format!("gateway-{gateway}"),
+        targets,
+        version: 1,
+        ..Report::default()
     };
-    let first = report(0, (0, 0));
+    let first = send_report(&mut relay, now, report(0, (0, 0)));
     let Some(Answer::Table(table)) = first.first() else {
         panic!("a report with outdated data was not answered at once: {first:?}");
     };
     for gateway in 0..GATEWAY_COUNT {
+        let answered = send_report(&mut relay, now, report(gateway, table.revision));
         assert!(
-            report(gateway, table.revision).is_empty(),
+            answered.is_empty(),
             "a report with current data was answered without a change"
         );
     }
-    let actions = submit_new_catalog(&mut core, now + Duration::from_millis(20), 2);
-    let tables = answers(actions).into_iter().filter_map(|answer| match answer {
+    let digest = relay.digest(now);
+    assert!(answers(send_digest(&mut core, now, digest)).is_empty());
+    let changed_at = now + Duration::from_millis(20);
+    let overviews = answers(submit_new_catalog(&mut core, changed_at, 2));
+    let overview_bytes: usize = overviews
+        .iter()
+        .map(|o| serde_json::to_vec(o).unwrap().len())
+        .sum();
+    let answered = answer_relay(&mut relay, changed_at, overviews);
+    let tables = answered.into_iter().filter_map(|answer| match answer {
         Answer::Table(table) => Some(table),
         _ => None,
     });
@@ -176,6 +221,7 @@
     );
     assert!(tables.iter().all(|t| t.version == 2));
     let bytes: usize = tables.iter().map(|t| serde_json::to_vec(t).unwrap().len()).sum();
+    let bytes = bytes + overview_bytes;
     assert!(
         bytes as f64 / LINK_BYTES_PER_S < 0.1,
         "{bytes} bytes of tables take over 0.1 s"
@@ -185,21 +231,28 @@
 #[test]
 fn shares_of_limits_add_up_to_one() {
     let (mut core, now) = leader();
-    let mut report = |gateway: usize| {
-        let report = Report {
-            gateway: format!("gateway-{gateway}"),
-            // A few gateways have most of the callers, some have none.
-            demand: BTreeMap::from([("engine/large".to_owned(), (gateway % 5 * gateway) as f64)]),
-            ..Report::default()
-        };
-        let (ticket, call) = (gateway as u64, Call::Report(Box::new(report)));
-        answers(core.step(now, Event::Call { ticket, call }))
+    let mut relay = relay_of(&mut core, now);
+    let report = |gateway: usize| Report {
+        gateway: format!("gateway-{gateway}"),
+        // A few gateways have most of the callers, some have none.
+        demand: BTreeMap::from([("engine/large".to_owned(), (gateway % 5 * gateway) as f64)]),
+        ..Report::default()
     };
-    (0..GATEWAY_COUNT).for_each(|gateway| drop(report(gateway)));
-    let shares = (0..GATEWAY_COUNT).map(|gateway| match report(gateway).as_slice() {
-        [Answer::Table(table)] => table.share,
-        other => panic!("{other:?}"),
-    });
+    for gateway in 0..GATEWAY_COUNT {
+        send_report(&mut relay, now, report(gateway));
+    }
+    let digest = relay.digest(now);
+    let later = now + Duration::from_millis(60);
+    let mut overviews = answers(send_digest(&mut core, now, digest));
+    overviews.extend(answers(core.step(later, Event::Tick)));
+    answer_relay(&mut relay, later, overviews);
+    let shares =
+        (0..GATEWAY_COUNT).map(
+            |gateway| match send_report(&mut relay, later, report(gateway)).as_slice() {
+                [Answer::Table(table)] => table.share,
+                other => panic!("{other:?}"),
+            },
+        );
     let shares: Vec<f64> = shares.collect();
     let sum: f64 = shares.iter().sum();
     assert!((sum - 1.0).abs() < 1e-6, "shares add up to {sum}");
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -25,11 +25,11 @@
 use heatherramp::domain::fleet::Answer;
 use heatherramp::domain::fleet::Call;
 use heatherramp::domain::fleet::Core;
+use heatherramp::domain::fleet::Digest;
 use heatherramp::domain::fleet::Document;
 use heatherramp::domain::fleet::Event;
 use heatherramp::domain::fleet::Membership;
 use heatherramp::domain::fleet::Order;
-use heatherramp::domain::fleet::Report;
 use heatherramp::domain::fleet::Stage;
 use heatherramp::domain::fleet::Task;
 use heatherramp::domain::fleet::Timing;
@@ -250,12 +250,12 @@
         }
         self.step(Event::Tick);
         if self.has_traffic && self.now.is_multiple_of(200) {
-            let report = Report {
-                gateway: "g".to_owned(),
+            let digest = Digest {
+                gateways: vec!["g".to_owned()],
                 demand: BTreeMap::from([("engine/large".to_owned(), 1.5), ("engine/small".to_owned(), 1.5)]),
-                ..Report::default()
+                ..Digest::default()
             };
-            self.call(Call::Report(Box::new(report)));
+            self.call(Call::Digest(Box::new(digest)));
         }
     }
 
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,281 @@
+//! Relays between gateways, VMs and the leading controller.
+//!
+//! Each failure that is tested here would make the leader believe something that is no longer so, or
+//! gateways act on it: a VM that is gone counts as alive, requests of a dead gateway count as running,
+//! or a withdrawn key works for longer than allowed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use heatherramp::domain::consensus;
+use heatherramp::domain::consensus::Recovery;
+use heatherramp::domain::consensus::Snapshot;
+use heatherramp::domain::fleet::Action;
+use heatherramp::domain::fleet::Announcement;
+use heatherramp::domain::fleet::Answer;
+use heatherramp::domain::fleet::Call;
+use heatherramp::domain::fleet::Controller;
+use heatherramp::domain::fleet::Core;
+use heatherramp::domain::fleet::Digest;
+use heatherramp::domain::fleet::Event;
+use heatherramp::domain::fleet::Input;
+use heatherramp::domain::fleet::Overview;
+use heatherramp::domain::fleet::Registry;
+use heatherramp::domain::fleet::Relay;
+use heatherramp::domain::fleet::Report;
+use heatherramp::domain::fleet::Table;
+use heatherramp::domain::fleet::Timing;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn relay(address: &str) -> Relay {
+    let controller = Controller {
+        address: address.to_owned(),
+        zone: format!("zone-{address}"),
+    };
+    Relay::new(controller, Timing::default())
+}
+
+fn overview(term: u64, revision: u64) -> Box<Overview> {
+    Box::new(Overview {
+        table: Table {
+            revision: (term, revision),
+            targets: Some(Vec::new()),
+            gateways: 1,
+            ..Table::default()
+        },
+        demand: 0.0,
+    })
+}
+
+fn heartbeat(id: &str, sequence: u64) -> Announcement {
+    Announcement {
+        id: id.to_owned(),
+        incarnation: 1,
+        sequence,
+        service: "engine".to_owned(),
+        address: format!("127.0.0.1:{}", 1_000 + id.len()),
+        zone: "z".to_owned(),
+        domain: "d".to_owned(),
+        slots: 8,
+        draining: false,
+        cold_ms: 0,
+        staged: Vec::new(),
+        membership: None,
+    }
+}
+
+fn beat(relay: &mut Relay, now: u64, announcement: Announcement) -> bool {
+    let answers = relay.step(ms(now), Input::Heartbeat(1, Box::new(announcement)));
+    matches!(answers.as_slice(), [(1, Answer::Done)])
+}
+
+/// Sequence numbers in a digest: of heartbeats in full, and of renewals.
+fn sequences(digest: &Digest) -> (Vec<u64>, Vec<u64>) {
+    let changed = digest.changed.iter().map(|h| h.announcement.sequence);
+    let renewed = digest.renewed.iter().map(|r| r.sequence);
+    (changed.collect(), renewed.collect())
+}
+
+fn report(gateway: &str, targets: (u64, u64), running: u32) -> Box<Report> {
+    Box::new(Report {
+        gateway: gateway.to_owned(),
+        targets,
+        running: BTreeMap::from([("t".to_owned(), running)]),
+        ..Report::default()
+    })
+}
+
+fn table_of(answers: Vec<(u64, Answer)>) -> Table {
+    match answers.into_iter().next() {
+        Some((_, Answer::Table(table))) => *table,
+        other => panic!("no table: {other:?}"),
+    }
+}
+
+#[test]
+fn a_heartbeat_is_sent_in_full_until_the_leader_has_it_and_then_renewed() {
+    let mut relay = relay("a");
+    relay.step(ms(0), Input::Overview(ms(0), overview(1, 1)));
+    assert!(beat(&mut relay, 10, heartbeat("vm", 1)));
+    assert_eq!(sequences(&relay.digest(ms(20))), (vec![1], vec![]));
+    relay.step(ms(60), Input::DigestLost);
+    assert_eq!(
+        sequences(&relay.digest(ms(70))),
+        (vec![1], vec![]),
+        "a heartbeat in a lost digest was not sent again"
+    );
+    relay.step(ms(80), Input::Overview(ms(70), overview(1, 1)));
+    assert_eq!(sequences(&relay.digest(ms(90))), (vec![], vec![]));
+    assert!(beat(&mut relay, 100, heartbeat("vm", 2)));
+    assert_eq!(sequences(&relay.digest(ms(110))), (vec![], vec![2]));
+    relay.step(ms(120), Input::Overview(ms(110), overview(1, 1)));
+    let changed = Announcement {
+        cold_ms: 500,
+        ..heartbeat("vm", 3)
+    };
+    assert!(beat(&mut relay, 130, changed));
+    assert_eq!(sequences(&relay.digest(ms(140))), (vec![3], vec![]));
+}
+
+/// Between two heartbeats here the VM may have told the leader something else through another relay.
+#[test]
+fn a_heartbeat_after_a_gap_is_sent_in_full() {
+    let mut relay = relay("a");
+    relay.step(ms(0), Input::Overview(ms(0), overview(1, 1)));
+    beat(&mut relay, 10, heartbeat("vm", 1));
+    relay.digest(ms(20));
+    relay.step(ms(30), Input::Overview(ms(20), overview(1, 1)));
+    beat(&mut relay, 40, heartbeat("vm", 5));
+    assert_eq!(sequences(&relay.digest(ms(50))), (vec![5], vec![]));
+}
+
+#[test]
+fn a_new_leader_gets_recent_heartbeats_with_their_age_and_no_older_ones() {
+    let mut relay = relay("a");
+    relay.step(ms(0), Input::Overview(ms(0), overview(1, 1)));
+    beat(&mut relay, 10, heartbeat("old", 1));
+    for now in (200..=1_800).step_by(200) {
+        relay.digest(ms(now));
+        relay.step(ms(now), Input::Overview(ms(now), overview(1, 1)));
+    }
+    beat(&mut relay, 1_300, heartbeat("recent", 1));
+    relay.digest(ms(1_900));
+    relay.step(ms(1_900), Input::Overview(ms(1_900), overview(1, 1)));
+    relay.step(ms(2_000), Input::Overview(ms(1_990), overview(2, 1)));
+    let digest = relay.digest(ms(2_100));
+    let ids: Vec<&str> = digest
+        .changed
+        .iter()
+        .map(|h| h.announcement.id.as_str())
+        .collect();
+    assert_eq!(ids, ["recent"], "an old heartbeat may hide that its VM has left");
+    assert_eq!(digest.changed[0].age_ms, 800);
+}
+
+#[test]
+fn a_relay_without_the_leader_acknowledges_nothing() {
+    let mut relay = relay("a");
+    assert!(!beat(&mut relay, 0, heartbeat("vm", 1)));
+    relay.step(ms(10), Input::Overview(ms(10), overview(1, 1)));
+    assert!(beat(&mut relay, 20, heartbeat("vm", 2)));
+    let answers = relay.step(ms(30), Input::Report(7, report("g", (1, 1), 0)));
+    assert!(answers.is_empty(), "a report with current data was not held");
+    let answers = relay.step(ms(470), Input::DigestLost);
+    assert!(
+        matches!(answers.as_slice(), [(7, Answer::Redirect(None))]),
+        "a gateway was kept at a relay that has lost the leader: {answers:?}"
+    );
+    assert!(!beat(&mut relay, 1_600, heartbeat("vm", 3)));
+}
+
+/// The lease of a catalog counts from a time before the leader stated its version.
+#[test]
+fn a_table_states_the_age_of_what_the_leader_said() {
+    let mut relay = relay("a");
+    relay.step(ms(130), Input::Overview(ms(100), overview(1, 1)));
+    let table = table_of(relay.step(ms(250), Input::Report(1, report("g", (0, 0), 0))));
+    assert_eq!(table.age_ms, 150);
+}
+
+#[test]
+fn running_requests_are_those_of_all_other_gateways_with_a_recent_report() {
+    let mut relay = relay("a");
+    let mut from_leader = overview(1, 1);
+    from_leader.table.running.insert("t".to_owned(), 5);
+    relay.step(ms(0), Input::Overview(ms(0), from_leader.clone()));
+    relay.step(ms(10), Input::Report(1, report("g1", (0, 0), 2)));
+    let table = table_of(relay.step(ms(20), Input::Report(2, report("g2", (0, 0), 3))));
+    assert_eq!(table.running["t"], 7);
+    assert_eq!(relay.digest(ms(30)).running["t"], 5);
+    // A further report replaces the earlier one.
+    let table = table_of(relay.step(ms(40), Input::Report(3, report("g1", (0, 0), 1))));
+    assert_eq!(table.running["t"], 8);
+    // The second gateway has died.
+    relay.step(ms(1_500), Input::Overview(ms(1_500), from_leader));
+    relay.step(ms(1_510), Input::Report(4, report("g1", (1, 1), 1)));
+    assert_eq!(relay.digest(ms(1_600)).running["t"], 1);
+    assert_eq!(relay.digest(ms(1_600)).gateways.len(), 2);
+}
+
+#[test]
+fn a_renewal_counts_only_for_the_incarnation_and_content_that_it_renews() {
+    let mut registry = Registry::default();
+    registry.record_heartbeat(ms(1_000), ms(400), heartbeat("vm", 3));
+    assert_eq!(registry.get("vm").unwrap().last_heartbeat, ms(600));
+    registry.renew(ms(2_000), "vm", 1, 3);
+    registry.renew(ms(2_000), "vm", 2, 4);
+    registry.renew(ms(2_000), "other", 1, 4);
+    assert_eq!(registry.get("vm").unwrap().last_heartbeat, ms(600));
+    registry.renew(ms(2_000), "vm", 1, 4);
+    assert_eq!(registry.get("vm").unwrap().last_heartbeat, ms(2_000));
+    registry.mark_gone("vm");
+    registry.renew(ms(3_000), "vm", 1, 5);
+    assert_eq!(registry.get("vm").unwrap().last_heartbeat, ms(2_000));
+}
+
+/// Controller that is the only voter and has become leader, with the time at that point.
+fn leader() -> (Core, u64) {
+    let recovery = Recovery {
+        hard_state: consensus::HardState::default(),
+        snapshot: Snapshot {
+            index: 0,
+            term: 0,
+            voters: vec!["a".to_owned()],
+            learners: Vec::new(),
+            state: String::new(),
+        },
+        records: Vec::new(),
+    };
+    let timing = consensus::Timing::default();
+    let mut core = Core::new("a", Timing::default(), timing, recovery, Duration::ZERO, 1);
+    let mut now = 0;
+    while !core.leads(ms(now)) {
+        now += 20;
+        core.step(ms(now), Event::Tick);
+    }
+    (core, now)
+}
+
+fn exchange(core: &mut Core, relay: &mut Relay, now: u64) -> Vec<(u64, Answer)> {
+    let digest = relay.digest(ms(now));
+    let event = Event::Call {
+        ticket: 1,
+        call: Call::Digest(Box::new(digest)),
+    };
+    let mut actions = core.step(ms(now), event);
+    actions.extend(core.step(ms(now + 60), Event::Tick));
+    let overviews = actions.into_iter().filter_map(|action| match action {
+        Action::Answer(_, Answer::Overview(overview)) => Some(overview),
+        _ => None,
+    });
+    let answers = overviews.flat_map(|o| relay.step(ms(now + 60), Input::Overview(ms(now), o)));
+    answers.collect()
+}
+
+/// A gateway that turns from one controller to another is one gateway, and its requests count once.
+#[test]
+fn the_leader_adds_up_the_relays() {
+    let (mut core, now) = leader();
+    let (mut a, mut b) = (relay("a"), relay("b"));
+    a.step(ms(now), Input::Report(1, report("g1", (0, 0), 2)));
+    a.step(ms(now), Input::Report(2, report("moves", (0, 0), 4)));
+    exchange(&mut core, &mut a, now);
+    b.step(ms(now + 100), Input::Report(3, report("moves", (0, 0), 4)));
+    exchange(&mut core, &mut b, now + 100);
+    let moved_at = now + 1_600;
+    a.step(ms(moved_at), Input::Report(4, report("g1", (0, 0), 2)));
+    b.step(ms(moved_at), Input::Report(5, report("moves", (0, 0), 4)));
+    exchange(&mut core, &mut a, moved_at);
+    exchange(&mut core, &mut b, moved_at);
+    let table = table_of(b.step(ms(moved_at + 70), Input::Report(6, report("moves", (0, 0), 4))));
+    assert_eq!(
+        table.gateways, 2,
+        "a gateway that turned to another controller counts twice"
+    );
+    assert_eq!(table.running["t"], 2);
+    let zones: Vec<&str> = table.controllers.iter().map(|c| c.zone.as_str()).collect();
+    assert_eq!(zones, ["zone-a"], "the only member of the log and its zone");
+}
