--- a/src/adapters/fleet/client.rs
+++ b/src/adapters/fleet/client.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Controller that answered the last [`Client::call_relay`].
+    pub fn relay(&self) -> Option<SocketAddr> {
+        self.with_directory(|directory| directory.relay)
+    }
+
     /// Calls the controller that this client reports to: one in its own availability zone if there is
     /// one that answers, and otherwise the last one that answered.
     ///
--- a/src/domain/fleet/call.rs
+++ b/src/domain/fleet/call.rs
@@ -8,10 +8,10 @@
 use super::Announcement;
 use super::Controller;
 use super::Document;
-use super::Table;
+use super::Overview;
 use crate::domain::catalog::Compressed;
 
-/// Report of a gateway; the answer is its routing table.
+/// Report of a gateway; the answer is an [`Overview`].
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Report {
     /// Identity of the gateway process.
@@ -29,8 +29,10 @@
     /// Requested work by `service/model`, in seconds of one group's time per second, which is the
     /// number of groups that it would keep busy.
     pub demand: BTreeMap<String, f64>,
-    /// Whether the gateway is shutting down and accepts no new requests.
-    pub draining: bool,
+    /// Address at which the gateway takes heartbeats over; none while it shuts down.
+    pub heartbeat_address: Option<String>,
+    /// Further heartbeats of VMs whose earlier ones with the same content this controller has acknowledged.
+    pub renewed: Vec<Renewal>,
 }
 
 /// Heartbeat that a controller has received.
@@ -79,16 +81,6 @@
     pub renewed: Vec<Renewal>,
 }
 
-/// The leader's answer to a [`Digest`].
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct Overview {
-    /// Routing table; `running` counts the requests of gateways that report to other controllers, and
-    /// `share` is not set.
-    pub table: Table,
-    /// Demand of all gateways over all services and models.
-    pub demand: f64,
-}
-
 /// Call to a controller. Only the leader carries calls out, and other controllers redirect to it;
 /// any controller answers `Report`, `Announce` and `Catalog`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -109,7 +101,8 @@
     },
     /// An operator reads the text of the catalog in force.
     Read,
-    /// Heartbeat of a VM; the relay passes on those that need no acknowledgement by the leader.
+    /// Heartbeat of a VM. A controller's relay passes it on, except that of a VM that shuts down: that one
+    /// is acknowledged by the leader.
     Announce(Box<Announcement>),
     /// A VM has shut down.
     Leave {
@@ -138,9 +131,7 @@
     Text(Option<Compressed>),
     /// JSON of the catalog that the receiver has applied, if it is newer than the caller's.
     Catalog(Option<Compressed>),
-    /// Routing table for a gateway.
-    Table(Box<Table>),
-    /// What the leader tells a controller.
+    /// Routing information for a gateway or a controller.
     Overview(Box<Overview>),
 }
 
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -11,6 +11,7 @@
 use super::Registry;
 use super::State;
 use super::Target;
+use super::TargetLog;
 use super::Timing;
 use super::event::Action;
 use super::event::Event;
@@ -43,6 +44,9 @@
     pub(super) ordered_at: Duration,
 }
 
+/// Shortest interval between two reconciliations for each known VM.
+const RECONCILE_INTERVAL_PER_VM: Duration = Duration::from_micros(25);
+
 /// Decision core of one controller.
 pub struct Core {
     pub(super) node: Node,
@@ -64,11 +68,9 @@
     /// When this node became leader; none while it follows.
     pub(super) leading_since: Option<Duration>,
     /// Targets that gateways may send new requests to.
-    pub(super) targets: Vec<Target>,
+    pub(super) targets: TargetLog,
     /// Identifiers of heads, and of VMs without a group, that get no new requests.
     pub(super) closed: Vec<String>,
-    /// Number of changes of `targets` and `closed` in this leadership.
-    pub(super) revision: u64,
     /// Number of applied [`Command::SetZone`]; when it rises, all waiting polls are answered.
     pub(super) zone_changes: usize,
     /// Callers that wait for a proposal to be applied, by log index.
@@ -115,9 +117,8 @@
             gateway_count: 1,
             member_first_seen: BTreeMap::new(),
             leading_since: None,
-            targets: Vec::new(),
+            targets: TargetLog::default(),
             closed: Vec::new(),
-            revision: 0,
             zone_changes: 0,
             tickets_by_index: BTreeMap::new(),
             own_proposals: VecDeque::new(),
@@ -163,8 +164,8 @@
     }
 
     /// Targets that gateways may send new requests to.
-    pub fn targets(&self) -> &[Target] {
-        &self.targets
+    pub fn targets(&self) -> Vec<Target> {
+        self.targets.targets().cloned().collect()
     }
 
     /// Whether this node is the leader with a valid lease at `now`.
@@ -197,7 +198,15 @@
         }
         self.maintain_log_membership(now, out);
         self.expire_peers(now);
-        if !self.reconcile_due && now < self.reconciled_at + RECONCILE_INTERVAL {
+        // At thousands of VMs one reconciliation takes milliseconds, so changes are gathered for longer.
+        let shortest_interval = RECONCILE_INTERVAL_PER_VM * self.registry.len() as u32;
+        let longest_interval = RECONCILE_INTERVAL.max(shortest_interval);
+        let interval = if self.reconcile_due {
+            shortest_interval
+        } else {
+            longest_interval
+        };
+        if now < self.reconciled_at + interval {
             return;
         }
         self.reconcile_due = false;
@@ -386,9 +395,8 @@
             self.member_first_seen.clear();
             self.peers.clear();
             self.gateway_count = 1;
-            self.targets.clear();
+            self.targets = TargetLog::new((self.node.term(), 0));
             self.closed.clear();
-            self.revision = 0;
             self.targets_dirty = true;
             out.push(Action::Leadership(true));
         }
--- a/src/domain/fleet/lifecycle.rs
+++ b/src/domain/fleet/lifecycle.rs
@@ -16,7 +16,7 @@
 use super::Task;
 use super::Timing;
 use super::Vm;
-use super::order::group_name;
+use super::order::is_name_of;
 
 /// Time after which an order to the same member may be sent again.
 const ORDER_RETRY_INTERVAL: Duration = Duration::from_millis(1_300);
@@ -127,15 +127,14 @@
 
     /// Orders members to join, then the head to open.
     fn advance_formation(&mut self, group: &Group, view: &View, out: &mut Vec<Effect>) {
-        let ids: Vec<String> = group.members.iter().map(|m| m.id.clone()).collect();
         let mut all_ready = true;
         for member in &group.members {
             let stage = reported_stage(group, member, view);
             all_ready &= matches!(stage, Some(Stage::Ready | Stage::Open));
-            if stage.is_none() {
+            if stage.is_none() && !self.was_sent_lately(member, view) {
                 let task = Task::Join {
                     model: group.model.clone(),
-                    members: ids.clone(),
+                    members: group.members.iter().map(|m| m.id.clone()).collect(),
                 };
                 self.send(group, member, task, view, out);
             }
@@ -208,11 +207,7 @@
 
     /// Sends an order to a member, unless the last order to it is too recent.
     fn send(&mut self, group: &Group, member: &Member, task: Task, view: &View, out: &mut Vec<Effect>) {
-        let recent = self
-            .last_sent
-            .get(&member.id)
-            .is_some_and(|at| view.now < *at + ORDER_RETRY_INTERVAL);
-        if recent {
+        if self.was_sent_lately(member, view) {
             return;
         }
         self.last_sent.insert(member.id.clone(), view.now);
@@ -225,6 +220,12 @@
         }));
     }
 
+    /// Whether the last order to a member is too recent for another one.
+    fn was_sent_lately(&self, member: &Member, view: &View) -> bool {
+        let last_sent = self.last_sent.get(&member.id);
+        last_sent.is_some_and(|at| view.now < *at + ORDER_RETRY_INTERVAL)
+    }
+
     /// Allows the next order to a VM immediately, because its heartbeat has shown a change.
     pub(super) fn allow_order_now(&mut self, vm: &str) {
         self.last_sent.remove(vm);
@@ -238,7 +239,7 @@
         return None;
     }
     let membership = vm.announcement.membership.as_ref()?;
-    let is_same = membership.epoch == group.epoch && membership.group == group_name(group.epoch);
+    let is_same = membership.epoch == group.epoch && is_name_of(&membership.group, group.epoch);
     is_same.then_some(membership.stage)
 }
 
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -8,9 +8,10 @@
 //! head, accepts the requests. A spare is a free VM whose host has the weights of a model, or loads
 //! them.
 //!
-//! Gateways and VMs call the controller in their availability zone. Its relay passes on what it has
-//! heard to the leader in one digest for all of them, so the leader's work grows with what changes and
-//! with the number of controllers, not with the number of gateways and heartbeats.
+//! Gateways call the controller in their availability zone, and VMs a gateway there. Heartbeats with new
+//! content are passed on at once, the others as renewals with the gateway's next report. The relay of each
+//! controller passes on what it has heard in one digest for all of them, so the leader's work grows with
+//! what changes and with the number of controllers, not with the number of gateways.
 //!
 //! Formation and dissolution of a group are committed before any order that depends on
 //! them. The log index of the formation is the group's epoch, so a late order of a
@@ -20,6 +21,7 @@
 mod call;
 mod core;
 mod event;
+mod heartbeats;
 mod lifecycle;
 pub mod log_membership;
 mod order;
@@ -30,6 +32,7 @@
 mod reports;
 mod routing;
 mod state;
+mod target_log;
 mod timing;
 
 pub use announcement::Announcement;
@@ -39,7 +42,6 @@
 pub use call::Call;
 pub use call::Digest;
 pub use call::Heard;
-pub use call::Overview;
 pub use call::Renewal;
 pub use call::Report;
 pub use core::Core;
@@ -47,6 +49,8 @@
 pub use event::Event;
 pub use event::Telemetry;
 pub use event::Ticket;
+pub use heartbeats::Handling;
+pub use heartbeats::Heartbeats;
 pub use lifecycle::Loss;
 pub use order::Order;
 pub use order::Task;
@@ -59,11 +63,15 @@
 pub use relay::Input;
 pub use relay::Relay;
 pub use routing::Controller;
+pub use routing::Overview;
 pub use routing::Table;
 pub use routing::Target;
+pub use routing::share;
 pub use state::Command;
 pub use state::Document;
 pub use state::Group;
 pub use state::Member;
 pub use state::State;
+pub use target_log::TargetLog;
+pub use target_log::Update;
 pub use timing::Timing;
--- a/src/domain/fleet/order.rs
+++ b/src/domain/fleet/order.rs
@@ -49,3 +49,9 @@
 pub(super) fn group_name(epoch: u64) -> String {
     format!("g{epoch}")
 }
+
+/// Whether `name` is that of the group with this epoch.
+pub(super) fn is_name_of(name: &str, epoch: u64) -> bool {
+    let digits = name.strip_prefix('g');
+    digits.is_some_and(|digits| !digits.starts_with(['0', '+']) && digits.parse() == Ok(epoch))
+}
--- a/src/domain/fleet/reconciliation.rs
+++ b/src/domain/fleet/reconciliation.rs
@@ -60,39 +60,38 @@
 
     /// Advances the lifecycle of each group and carries out what it returns.
     fn advance_groups(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let groups: Vec<Group> = self.state.groups.values().cloned().collect();
-        self.lifecycles
-            .retain(|epoch, _| self.state.groups.contains_key(epoch));
-        let leading_since = self.leading_since;
-        for group in groups {
-            let epoch = group.epoch;
-            // A group from before this leadership may have been opened by an earlier leader.
-            let is_restored = !self.lifecycles.contains_key(&epoch)
-                && leading_since.is_some_and(|s| now < s + self.timing.leader_discovery_time());
-            let mut lifecycle = self
-                .lifecycles
-                .remove(&epoch)
-                .unwrap_or_else(|| Lifecycle::new(now, &group, is_restored));
-            let view = self.view(now, &group);
-            let effects = lifecycle.advance(&group, &view);
-            self.lifecycles.insert(epoch, lifecycle);
-            for effect in effects {
-                match effect {
-                    Effect::Order(order) => out.push(Action::Order(order)),
-                    Effect::Opened => {
-                        out.push(Action::Telemetry(Telemetry::Opened(epoch)));
-                        self.propose(now, None, Command::Open { epoch }, out);
-                    }
-                    Effect::Lost(loss, vm) => {
-                        out.push(Action::Telemetry(Telemetry::Lost(epoch, loss, vm)));
-                        self.propose(now, None, Command::Close { epoch }, out);
-                    }
-                    Effect::Dissolve if self.own_proposals.is_empty() => {
-                        self.propose(now, None, Command::Dissolve { epoch }, out);
-                    }
-                    // A later run returns the effect again.
-                    Effect::Dissolve => {}
+        let mut lifecycles = std::mem::take(&mut self.lifecycles);
+        lifecycles.retain(|epoch, _| self.state.groups.contains_key(epoch));
+        // A group from before this leadership may have been opened by an earlier leader.
+        let is_discovering = self
+            .leading_since
+            .is_some_and(|s| now < s + self.timing.leader_discovery_time());
+        let mut effects = Vec::new();
+        for group in self.state.groups.values() {
+            let lifecycle = lifecycles
+                .entry(group.epoch)
+                .or_insert_with(|| Lifecycle::new(now, group, is_discovering));
+            let view = self.view(now, group);
+            let of_group = lifecycle.advance(group, &view);
+            effects.extend(of_group.into_iter().map(|effect| (group.epoch, effect)));
+        }
+        self.lifecycles = lifecycles;
+        for (epoch, effect) in effects {
+            match effect {
+                Effect::Order(order) => out.push(Action::Order(order)),
+                Effect::Opened => {
+                    out.push(Action::Telemetry(Telemetry::Opened(epoch)));
+                    self.propose(now, None, Command::Open { epoch }, out);
+                }
+                Effect::Lost(loss, vm) => {
+                    out.push(Action::Telemetry(Telemetry::Lost(epoch, loss, vm)));
+                    self.propose(now, None, Command::Close { epoch }, out);
                 }
+                Effect::Dissolve if self.own_proposals.is_empty() => {
+                    self.propose(now, None, Command::Dissolve { epoch }, out);
+                }
+                // A later run returns the effect again.
+                Effect::Dissolve => {}
             }
         }
     }
@@ -363,13 +362,14 @@
     /// Derives the targets from the replicated state, so a new leader has them immediately.
     pub(super) fn recompute_targets(&mut self, now: Duration) {
         let mut closed = Vec::new();
-        let mut targets = Vec::new();
+        let mut targets = BTreeMap::new();
         for group in self.state.groups.values() {
             let lifecycle = self.lifecycles.get(&group.epoch);
             if group.closing || lifecycle.is_some_and(|l| l.closing.is_some()) {
                 closed.push(group.head().id.clone());
             } else if group.opened {
-                targets.push(self.group_target(now, group));
+                let target = self.group_target(now, group);
+                targets.insert(target.id.clone(), target);
             }
         }
         for target in self.state.listed.values() {
@@ -379,15 +379,18 @@
                 continue;
             }
             let cold = vm.is_some_and(|vm| now < vm.cold_until);
-            targets.push(Target {
+            let target = Target {
                 cold,
                 ..target.clone()
-            });
+            };
+            targets.insert(target.id.clone(), target);
         }
-        if targets != self.targets || closed != self.closed {
-            self.targets = targets;
+        let has_new_targets = self.targets.replace(targets);
+        if closed != self.closed {
             self.closed = closed;
-            self.revision += 1;
+            if !has_new_targets {
+                self.targets.advance();
+            }
         }
     }
 
--- a/src/domain/fleet/registry.rs
+++ b/src/domain/fleet/registry.rs
@@ -137,6 +137,16 @@
         self.last_arrival
     }
 
+    /// Number of known VMs, including those that are gone.
+    pub fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// Whether no VM is known.
+    pub fn is_empty(&self) -> bool {
+        self.vms.is_empty()
+    }
+
     /// VM with this identifier.
     pub fn get(&self, id: &str) -> Option<&Vm> {
         self.vms.get(id)
--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -19,23 +19,22 @@
 use super::Overview;
 use super::Renewal;
 use super::Report;
-use super::Table;
+use super::TargetLog;
 use super::Timing;
 use super::event::Ticket;
 
 /// Age of the leader's overview up to which reports are answered from it.
 const OVERVIEW_VALIDITY: Duration = Duration::from_millis(450);
-/// Age of the leader's overview up to which heartbeats are acknowledged; longer than an election
-/// takes, and short against the silence after which a VM counts as lost.
-const HEARTBEAT_VALIDITY: Duration = Duration::from_millis(1_500);
+/// Age of the leader's overview up to which heartbeats are acknowledged: less than their interval, so
+/// that at most one heartbeat of a VM is acknowledged in vain.
+const HEARTBEAT_VALIDITY: Duration = Duration::from_millis(1_000);
 /// Time for which a gateway's report on targets and demand counts.
 const REPORT_VALIDITY: Duration = Duration::from_millis(1_500);
 /// Time without a report after which a gateway is forgotten and its share of the limits goes to the
 /// others.
 const GATEWAY_EXPIRY: Duration = Duration::from_secs(20);
-/// Fraction of shared limits that is split equally between gateways whatever their demand, so that
-/// a gateway whose callers have just arrived can serve them.
-const EQUAL_SHARE_FRACTION: f64 = 0.3;
+/// Reports that a relay answers per second at most; with more gateways each reports less often.
+const MAX_REPORTS_PER_S: u64 = 200;
 
 /// Input to [`Relay::step`].
 #[derive(Clone, Debug)]
@@ -61,7 +60,6 @@
 /// Report that waits for a change before it is answered.
 struct Poll {
     ticket: Ticket,
-    gateway: String,
     targets: (u64, u64),
     version: u64,
     zone_changes: usize,
@@ -86,8 +84,9 @@
 
 /// The leader's last overview.
 struct Held {
-    table: Table,
-    demand: f64,
+    overview: Overview,
+    /// Requests in progress from gateways that report to other controllers, by target.
+    running: BTreeMap<String, u32>,
     /// When the digest was sent that it answers.
     asked_at: Duration,
 }
@@ -101,6 +100,8 @@
     running: BTreeMap<String, u32>,
     vms: BTreeMap<String, Vm>,
     held: Option<Held>,
+    /// Targets as of the leader's last overview.
+    targets: TargetLog,
     /// Changes of the zones out of service that overviews have shown.
     zone_changes: usize,
     polls: Vec<Poll>,
@@ -118,6 +119,7 @@
             running: BTreeMap::new(),
             vms: BTreeMap::new(),
             held: None,
+            targets: TargetLog::default(),
             zone_changes: 0,
             polls: Vec::new(),
             in_flight: Vec::new(),
@@ -147,7 +149,17 @@
 
     /// Addresses and zones of the controllers, as of the leader's last overview.
     pub fn controllers(&self) -> &[Controller] {
-        self.held.as_ref().map_or(&[], |h| &h.table.controllers)
+        self.held.as_ref().map_or(&[], |h| &h.overview.controllers)
+    }
+
+    /// Address at which a gateway takes heartbeats of the VM `id` over, if there is one.
+    ///
+    /// Rendezvous hashing spreads the VMs, and moves few of them when a gateway comes or goes.
+    pub fn heartbeat_address(&self, now: Duration, id: &str) -> Option<&str> {
+        let fresh = self.gateways.values().filter(|g| is_fresh(g, now));
+        let addresses = fresh.filter_map(|g| g.report.heartbeat_address.as_deref());
+        let weight = |address: &&str| xxhash_rust::xxh3::xxh3_64_with_seed(address.as_bytes(), hash(id));
+        addresses.max_by_key(weight)
     }
 
     /// Digest for the leader of what this relay has heard since the last one.
@@ -196,11 +208,10 @@
         }
         stalled.sort_unstable();
         stalled.dedup();
-        let table = self.held.as_ref().map(|h| &h.table);
         Digest {
             controller: self.controller.clone(),
-            targets: table.map_or((0, 0), |t| t.revision),
-            version: table.map_or(0, |t| t.version),
+            targets: self.targets.revision(),
+            version: self.held.as_ref().map_or(0, |h| h.overview.version),
             gateways: self.gateways.keys().cloned().collect(),
             running: self.running.clone(),
             served,
@@ -211,15 +222,23 @@
         }
     }
 
-    fn receive_report(&mut self, now: Duration, ticket: Ticket, report: Report) {
+    /// Longest wait of a report for a change.
+    fn report_interval(&self) -> Duration {
+        let paced_ms = self.gateways.len() as u64 * 1_000 / MAX_REPORTS_PER_S;
+        Duration::from_millis(self.timing.poll_ms.max(paced_ms))
+    }
+
+    fn receive_report(&mut self, now: Duration, ticket: Ticket, mut report: Report) {
+        for renewal in std::mem::take(&mut report.renewed) {
+            self.receive_renewal(now, &renewal);
+        }
         self.polls.push(Poll {
             ticket,
-            gateway: report.gateway.clone(),
             targets: report.targets,
             version: report.version,
             zone_changes: self.zone_changes,
             arrived_at: now,
-            deadline: now + Duration::from_millis(self.timing.poll_ms),
+            deadline: now + self.report_interval(),
         });
         for (target, count) in &report.running {
             match self.running.get_mut(target) {
@@ -263,7 +282,24 @@
         self.vms.insert(id, vm);
     }
 
-    fn receive_overview(&mut self, now: Duration, asked_at: Duration, overview: Overview) {
+    /// Records that a VM has sent a further heartbeat to a gateway whose earlier ones, with the same
+    /// content, this relay has acknowledged.
+    fn receive_renewal(&mut self, now: Duration, renewal: &Renewal) {
+        let Some(vm) = self.vms.get_mut(&renewal.id) else {
+            return;
+        };
+        let announcement = &mut vm.announcement;
+        if announcement.incarnation != renewal.incarnation || renewal.sequence <= announcement.sequence {
+            return;
+        }
+        announcement.sequence = renewal.sequence;
+        vm.heard_at = now;
+        if vm.pending == Pending::Nothing {
+            vm.pending = Pending::Renewal;
+        }
+    }
+
+    fn receive_overview(&mut self, now: Duration, asked_at: Duration, mut overview: Overview) {
         for (id, incarnation, sequence) in std::mem::take(&mut self.in_flight) {
             let Some(vm) = self.vms.get_mut(&id) else {
                 continue;
@@ -272,29 +308,29 @@
                 vm.pending = Pending::Nothing;
             }
         }
-        let mut table = overview.table;
         let previous = self.held.take();
         // A leader forgets silent VMs, so after a long time without an answer it may know none.
         let is_same_leader = previous.as_ref().is_some_and(|p| {
-            p.table.revision.0 == table.revision.0 && asked_at < p.asked_at + self.timing.vm_silence_limit()
+            p.overview.revision.0 == overview.revision.0
+                && asked_at < p.asked_at + self.timing.vm_silence_limit()
         });
         if !is_same_leader {
             self.resend_recent_heartbeats(now);
         }
-        if let Some(previous) = previous.map(|h| h.table) {
-            if previous.zones_out != table.zones_out {
+        if let Some(previous) = previous.map(|h| h.overview) {
+            if previous.zones_out != overview.zones_out {
                 self.zone_changes += 1;
             }
-            if table.targets.is_none() {
-                table.targets = previous.targets;
-            }
-            if table.catalog.is_none() && table.version == previous.version {
-                table.catalog = previous.catalog;
+            if overview.catalog.is_none() && overview.version == previous.version {
+                overview.catalog = previous.catalog;
             }
         }
+        if let Some(update) = overview.update.take() {
+            self.targets.apply(overview.revision, update);
+        }
         self.held = Some(Held {
-            table,
-            demand: overview.demand,
+            running: self.targets.by_target(&overview.running),
+            overview,
             asked_at,
         });
     }
@@ -314,52 +350,52 @@
     /// Answers reports whose gateway has outdated data or whose deadline has passed, or all of them
     /// with a redirect while the leader is lost.
     fn answer_polls(&mut self, now: Duration, out: &mut Vec<(Ticket, Answer)>) {
+        if self.polls.is_empty() {
+            return;
+        }
         let is_held = self.is_held_for(now, OVERVIEW_VALIDITY);
+        // The part that all gateways get alike.
+        let mut common = None;
         for poll in std::mem::take(&mut self.polls) {
             let Some(held) = self.held.as_ref().filter(|_| is_held) else {
                 out.push((poll.ticket, Answer::Redirect(None)));
                 continue;
             };
-            let has_change = poll.targets != held.table.revision
-                || poll.version < held.table.version
+            let has_change = poll.targets != self.targets.revision()
+                || poll.version < held.overview.version
                 || poll.zone_changes != self.zone_changes;
-            if has_change || now >= poll.deadline {
-                let table = self.table(held, &poll);
-                out.push((poll.ticket, Answer::Table(Box::new(table))));
-            } else {
+            if !has_change && now < poll.deadline {
                 self.polls.push(poll);
+                continue;
             }
+            let mut overview = common.get_or_insert_with(|| self.common_overview(held)).clone();
+            overview.update = self.targets.since(poll.targets);
+            overview.age_ms = poll.arrived_at.saturating_sub(held.asked_at).as_millis() as u64;
+            if poll.version < held.overview.version {
+                overview.catalog.clone_from(&held.overview.catalog);
+            }
+            out.push((poll.ticket, Answer::Overview(Box::new(overview))));
         }
     }
 
-    /// Routing table for the gateway of a poll.
-    fn table(&self, held: &Held, poll: &Poll) -> Table {
-        let own_report = self.gateways.get(&poll.gateway).map(|g| &g.report);
-        let mut running = held.table.running.clone();
-        for (target, count) in &self.running {
-            match running.get_mut(target) {
-                Some(total) => *total += count,
-                None => drop(running.insert(target.clone(), *count)),
-            }
+    /// Overview for gateways, without what depends on the data that each of them holds.
+    fn common_overview(&self, held: &Held) -> Overview {
+        let mut running = self.running.clone();
+        for (target, count) in &held.running {
+            *running.entry(target.clone()).or_default() += count;
         }
-        if let Some(report) = own_report {
-            subtract(&mut running, &report.running);
-        }
-        let table = &held.table;
-        let has_new_targets = poll.targets != table.revision;
-        Table {
-            revision: table.revision,
-            targets: table.targets.clone().filter(|_| has_new_targets),
-            closed: table.closed.clone(),
-            zones_out: table.zones_out.clone(),
-            catalog: table.catalog.clone().filter(|_| poll.version < table.version),
-            version: table.version,
-            running,
-            stalled: table.stalled.clone(),
-            share: share(own_report, held),
-            gateways: table.gateways,
-            controllers: table.controllers.clone(),
-            age_ms: poll.arrived_at.saturating_sub(held.asked_at).as_millis() as u64,
+        let overview = &held.overview;
+        Overview {
+            revision: self.targets.revision(),
+            running: self.targets.in_order(&running),
+            closed: overview.closed.clone(),
+            zones_out: overview.zones_out.clone(),
+            version: overview.version,
+            stalled: overview.stalled.clone(),
+            demand: overview.demand,
+            gateways: overview.gateways,
+            controllers: overview.controllers.clone(),
+            ..Overview::default()
         }
     }
 
@@ -396,16 +432,6 @@
     }
 }
 
-/// Fraction of shared limits that a gateway gets: [`EQUAL_SHARE_FRACTION`] is split equally, the
-/// rest by demand. Without any demand all of it is split equally.
-///
-/// The fractions of all gateways add up to 1 once the leader's overview includes their reports.
-fn share(own_report: Option<&Report>, held: &Held) -> f64 {
-    let equal = 1.0 / held.table.gateways.max(1) as f64;
-    if held.demand <= 0.0 {
-        return equal;
-    }
-    let own: f64 = own_report.map_or(0.0, |r| r.demand.values().sum());
-    let by_demand = (own / held.demand).min(1.0);
-    EQUAL_SHARE_FRACTION * equal + (1.0 - EQUAL_SHARE_FRACTION) * by_demand
+fn hash(id: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes())
 }
--- a/src/domain/fleet/reports.rs
+++ b/src/domain/fleet/reports.rs
@@ -10,7 +10,6 @@
 use super::Digest;
 use super::Document;
 use super::Overview;
-use super::Table;
 use super::core::Core;
 use super::event::Action;
 use super::event::Ticket;
@@ -21,9 +20,10 @@
 /// Time without a digest after which a controller is forgotten, and the shares that its gateways have
 /// of limits go to the others.
 const PEER_EXPIRY: Duration = Duration::from_secs(20);
-/// Longest wait of a digest for a change, so the interval at which controllers without changes learn
-/// the load from each other.
-const DIGEST_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval of digests with few gateways; half of the interval of a gateway's reports.
+const MIN_DIGEST_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval of digests for each gateway, with many.
+const DIGEST_INTERVAL_PER_GATEWAY: Duration = Duration::from_micros(500);
 /// Largest compressed catalog that a routing table carries. For a smaller one, a separate call costs
 /// more than its bytes in the table.
 const MAX_INLINE_CATALOG_BYTES: usize = 8 << 10;
@@ -65,7 +65,7 @@
             targets: digest.targets,
             version: digest.version,
             zone_changes: self.zone_changes,
-            deadline: now + DIGEST_INTERVAL,
+            deadline: now + self.digest_interval(),
         });
         let address = digest.controller.address.clone();
         let peer = Peer {
@@ -94,6 +94,12 @@
         self.gateway_count = gateways.len().max(1);
     }
 
+    /// Longest wait of a digest for a change, so the interval at which controllers without changes learn
+    /// the load from each other; longer with many gateways, of which each sends a smaller part of the load.
+    fn digest_interval(&self) -> Duration {
+        MIN_DIGEST_INTERVAL.max(DIGEST_INTERVAL_PER_GATEWAY * self.gateway_count as u32)
+    }
+
     /// Records a heartbeat that a controller received `age` ago.
     pub(super) fn record_heartbeat(&mut self, now: Duration, age: Duration, announcement: Announcement) {
         let id = announcement.id.clone();
@@ -115,7 +121,7 @@
             return;
         }
         let leads = self.leads(now);
-        let revision = self.targets_revision();
+        let revision = self.targets.revision();
         for poll in std::mem::take(&mut self.polls) {
             if !leads {
                 out.push(self.redirect(poll.ticket));
@@ -125,10 +131,7 @@
             let has_new_catalog_or_zones =
                 poll.version < self.state.version() || poll.zone_changes != self.zone_changes;
             if has_new_targets || has_new_catalog_or_zones || now >= poll.deadline {
-                let overview = Overview {
-                    table: self.table(now, &poll),
-                    demand: self.fresh_digests(now).flat_map(|d| d.demand.values()).sum(),
-                };
+                let overview = self.overview(now, &poll);
                 out.push(Action::Answer(poll.ticket, Answer::Overview(Box::new(overview))));
             } else {
                 self.polls.push(poll);
@@ -136,13 +139,8 @@
         }
     }
 
-    /// Term and revision of the current targets.
-    fn targets_revision(&self) -> (u64, u64) {
-        (self.node.term(), self.revision)
-    }
-
-    /// Routing table for the controller of a poll.
-    fn table(&self, now: Duration, poll: &Poll) -> Table {
+    /// Overview for the controller of a poll.
+    fn overview(&self, now: Duration, poll: &Poll) -> Overview {
         let mut running: BTreeMap<String, u32> = BTreeMap::new();
         let others = self
             .fresh_digests(now)
@@ -153,21 +151,21 @@
                 None => drop(running.insert(target.clone(), *count)),
             }
         }
-        let revision = self.targets_revision();
         let document = self.state.document.as_ref();
         let is_inline = |d: &&Document| d.version > poll.version && d.raw.size() <= MAX_INLINE_CATALOG_BYTES;
-        Table {
-            revision,
-            targets: (poll.targets != revision).then(|| self.targets.clone()),
+        Overview {
+            revision: self.targets.revision(),
+            update: self.targets.since(poll.targets),
             closed: self.closed.clone(),
             zones_out: self.state.zones_out.iter().cloned().collect(),
             catalog: document.filter(is_inline).map(|d| d.raw.clone()),
             version: self.state.version(),
-            running,
+            running: self.targets.in_order(&running),
             stalled: self.stalled_targets(now),
+            demand: self.fresh_digests(now).flat_map(|d| d.demand.values()).sum(),
             gateways: self.gateway_count,
             controllers: self.reachable_controllers(now),
-            ..Table::default()
+            age_ms: 0,
         }
     }
 
--- a/src/domain/fleet/routing.rs
+++ b/src/domain/fleet/routing.rs
@@ -1,10 +1,11 @@
-//! Routing tables that the leader sends to gateways.
+//! Routing information that the leader sends to the controllers, and they to the gateways.
 
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::target_log::Update;
 use crate::domain::catalog::Compressed;
 
 /// VM that accepts requests: a replica of a service, or the head of an open group.
@@ -38,28 +39,29 @@
     pub zone: String,
 }
 
-/// Routing table for one gateway, the answer to its report.
+/// The leader's answer to a controller's digest, and a controller's answer to a gateway's report.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct Table {
+pub struct Overview {
     /// Term and revision of the targets in force.
     pub revision: (u64, u64),
-    /// Targets; left out when the gateway holds this revision.
-    pub targets: Option<Vec<Target>>,
+    /// Changes of the targets since the receiver's revision; left out when it holds this one.
+    pub update: Option<Update>,
     /// Identifiers of VMs that accept no new requests.
     pub closed: Vec<String>,
     /// Availability zones that are out of service.
     pub zones_out: Vec<String>,
-    /// JSON of the catalog; left out when the gateway holds this version, and when it is so large
+    /// JSON of the catalog; left out when the receiver holds this version, and when it is so large
     /// that gateways fetch it from any controller to spread the load.
     pub catalog: Option<Compressed>,
     /// Version of the catalog in force.
     pub version: u64,
-    /// Requests in progress from all other gateways, by target.
-    pub running: BTreeMap<String, u32>,
+    /// Requests in progress at each target, in the order of their identifiers. To a controller: those of
+    /// gateways that report to other controllers. To a gateway: those of all gateways.
+    pub running: Vec<u32>,
     /// Targets that some gateway reports as stalled and none as serving.
     pub stalled: Vec<String>,
-    /// Fraction of shared limits that this gateway may use, 0 to 1.
-    pub share: f64,
+    /// Demand of all gateways over all services and models, in groups.
+    pub demand: f64,
     /// Number of gateways that share limits, at least 1.
     pub gateways: usize,
     /// Members of the replicated log.
@@ -68,3 +70,39 @@
     /// that answers asked the leader for it.
     pub age_ms: u64,
 }
+
+/// Routing table of one gateway.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    /// Targets, if they have changed.
+    pub targets: Option<Vec<Target>>,
+    /// Identifiers of VMs that accept no new requests.
+    pub closed: Vec<String>,
+    /// Availability zones that are out of service.
+    pub zones_out: Vec<String>,
+    /// Requests in progress from all other gateways, by target.
+    pub running: BTreeMap<String, u32>,
+    /// Targets that some gateway reports as stalled and none as serving.
+    pub stalled: Vec<String>,
+    /// Fraction of shared limits that this gateway may use, 0 to 1.
+    pub share: f64,
+    /// Number of gateways that share limits, at least 1.
+    pub gateways: usize,
+}
+
+/// Fraction of shared limits that is split equally between gateways whatever their demand, so that
+/// a gateway whose callers have just arrived can serve them.
+const EQUAL_SHARE_FRACTION: f64 = 0.3;
+
+/// Fraction of shared limits that a gateway with `own` of the whole `demand` gets:
+/// [`EQUAL_SHARE_FRACTION`] is split equally, the rest by demand. Without any demand all of it is split
+/// equally.
+///
+/// The fractions of all gateways add up to 1 once `demand` includes their latest reports.
+pub fn share(own: f64, demand: f64, gateways: usize) -> f64 {
+    let equal = 1.0 / gateways.max(1) as f64;
+    if demand <= 0.0 {
+        return equal;
+    }
+    EQUAL_SHARE_FRACTION * equal + (1.0 - EQUAL_SHARE_FRACTION) * (own / demand).min(1.0)
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,7 +2,9 @@
 //! other controllers.
 
 mod driver;
+mod heartbeat;
 mod join;
+mod leader;
 mod messenger;
 mod metrics;
 mod peer;
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -1,12 +1,15 @@
 //! QUIC server for gateways and other controllers.
 
 use super::Mailbox;
+use super::heartbeat;
+use super::leader::Leader;
 use super::relay::Relay;
 use crate::adapters::quic;
 use crate::adapters::quic::Stream;
 use crate::adapters::wire;
 use crate::adapters::wire::reply::Kind as Reply;
 use crate::adapters::wire::request::Kind as Request;
+use crate::domain::fleet::Answer;
 use crate::domain::fleet::Call;
 use crate::domain::fleet::Event;
 
@@ -15,6 +18,7 @@
 pub(super) struct Server {
     pub(super) mailbox: Mailbox,
     pub(super) relay: Relay,
+    pub(super) leader: Leader,
     /// Identity of this controller.
     pub(super) identity: String,
 }
@@ -36,6 +40,15 @@
                 Ok(call) => {
                     let answer = match call {
                         Call::Report(report) => self.relay.report(report).await,
+                        Call::Announce(announcement) => {
+                            let is_acknowledged =
+                                heartbeat::announce(&self.relay, &self.leader, announcement).await;
+                            if is_acknowledged {
+                                Answer::Done
+                            } else {
+                                Answer::Redirect(None)
+                            }
+                        }
                         call => self.mailbox.ask(|ticket| Event::Call { ticket, call }).await,
                     };
                     Reply::FleetJson(serde_json::to_vec(&answer).expect("answers have string keys"))
--- a/src/fleet/relay.rs
+++ b/src/fleet/relay.rs
@@ -8,20 +8,19 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use super::Mailbox;
+use super::leader::Leader;
 use crate::adapters::clock;
-use crate::adapters::fleet::Client;
 use crate::daemon::Tickets;
 use crate::domain::fleet;
 use crate::domain::fleet::Announcement;
 use crate::domain::fleet::Answer;
 use crate::domain::fleet::Call;
-use crate::domain::fleet::Event;
+use crate::domain::fleet::Controller;
 use crate::domain::fleet::Input;
 use crate::domain::fleet::Report;
-use crate::domain::fleet::log_membership;
+use crate::domain::fleet::Timing;
 
-/// Time limit for the answer to a digest, which the leader holds for at most 50 ms.
+/// Time limit for the answer to a digest, which the leader holds for 50 ms, or 150 ms with 300 gateways.
 const DIGEST_TIMEOUT: Duration = Duration::from_millis(400);
 /// Delay after a digest without an answer.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -31,11 +30,16 @@
 pub(super) struct Relay {
     core: Arc<Mutex<fleet::Relay>>,
     tickets: Tickets<Answer>,
+    /// Availability zone of this controller.
+    zone: Arc<str>,
 }
 
 impl Relay {
-    pub(super) fn new(core: fleet::Relay) -> Self {
+    pub(super) fn new(controller: Controller, timing: Timing) -> Self {
+        let zone = Arc::from(controller.zone.as_str());
+        let core = fleet::Relay::new(controller, timing);
         Relay {
+            zone,
             core: Arc::new(Mutex::new(core)),
             tickets: Tickets::default(),
         }
@@ -60,15 +64,20 @@
         self.step(Input::Departure(id.to_owned()));
     }
 
-    /// Address of a controller in the availability zone, if one is known.
-    pub(super) fn controller_in(&self, zone: &str) -> Option<SocketAddr> {
+    /// Address for the next heartbeats of the VM `id`, if one is known: of a gateway that reports here
+    /// or, for a VM in another availability zone, of a controller in that zone with port `port`.
+    pub(super) fn heartbeat_address(&self, zone: &str, id: &str, port: u16) -> Option<SocketAddr> {
         let core = self.core.lock().expect("no panic under this lock");
+        if zone == &*self.zone {
+            return core.heartbeat_address(clock::now(), id)?.parse().ok();
+        }
         let controller = core.controllers().iter().find(|c| c.zone == zone)?;
-        controller.address.parse().ok()
+        let address: SocketAddr = controller.address.parse().ok()?;
+        Some(SocketAddr::new(address.ip(), port))
     }
 
     /// Sends digests to the leader and takes its overviews until the process ends.
-    pub(super) async fn run(self, mailbox: Mailbox, client: Client, own_address: SocketAddr) {
+    pub(super) async fn run(self, leader: Leader) {
         loop {
             let asked_at = clock::now();
             let digest = self
@@ -77,7 +86,7 @@
                 .expect("no panic under this lock")
                 .digest(asked_at);
             let call = Call::Digest(Box::new(digest));
-            match call_leader(&mailbox, &client, own_address, call).await {
+            match leader.call(call, DIGEST_TIMEOUT).await {
                 Some(Answer::Overview(overview)) => self.step(Input::Overview(asked_at, overview)),
                 _ => {
                     self.step(Input::DigestLost);
@@ -96,28 +105,3 @@
         }
     }
 }
-
-/// Calls the leader once, within this process if it is this controller.
-async fn call_leader(
-    mailbox: &Mailbox,
-    client: &Client,
-    own_address: SocketAddr,
-    call: Call,
-) -> Option<Answer> {
-    if client.leader() != Some(own_address) {
-        return client.call(&call, DIGEST_TIMEOUT).await;
-    }
-    let answer = mailbox.ask(|ticket| Event::Call { ticket, call });
-    match tokio::time::timeout(DIGEST_TIMEOUT, answer).await {
-        Ok(Answer::Redirect(leader)) => {
-            let leader = leader.and_then(|l| log_membership::controller_address(&l).parse().ok());
-            client.set_leader(leader);
-            None
-        }
-        Ok(answer) => Some(answer),
-        Err(_) => {
-            client.set_leader(None);
-            None
-        }
-    }
-}
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -16,6 +16,7 @@
 use super::driver;
 use super::driver::Executor;
 use super::join;
+use super::leader::Leader;
 use super::messenger::Messenger;
 use super::metrics::Metrics;
 use super::peer;
@@ -31,7 +32,6 @@
 use crate::adapters::quic::Credentials;
 use crate::adapters::quic::Pool;
 use crate::domain::consensus::Recovery;
-use crate::domain::fleet;
 use crate::domain::fleet::Controller;
 use crate::domain::fleet::Core;
 use crate::domain::fleet::Event;
@@ -83,7 +83,12 @@
         address: settings.peer_address().to_string(),
         zone: zone.to_owned(),
     };
-    let relay = Relay::new(fleet::Relay::new(controller, timing.clone()));
+    let relay = Relay::new(controller, timing.clone());
+    let leader = Leader {
+        mailbox: mailbox.clone(),
+        client: client.clone(),
+        own_address: settings.peer_address(),
+    };
     let core = Core::new(
         &identity,
         timing,
@@ -99,6 +104,7 @@
     let server = peer::Server {
         mailbox: mailbox.clone(),
         relay: relay.clone(),
+        leader: leader.clone(),
         identity: identity.clone(),
     };
     let endpoint = quic::serve(settings.peer_address(), &keys, move |request, stream| {
@@ -106,11 +112,9 @@
     })
     .change_context(Error::Listen)?;
     let server = Arc::new(web::Server {
-        mailbox: mailbox.clone(),
-        client: client.clone(),
+        leader: leader.clone(),
         relay: relay.clone(),
         metrics,
-        port: settings.listen.port(),
         own_address: settings.listen,
     });
     // Both ports serve all paths; a metrics port of 0 means none.
@@ -123,7 +127,7 @@
             .await
             .change_context(Error::Listen)?;
     }
-    tokio::spawn(relay.run(mailbox.clone(), client.clone(), settings.peer_address()));
+    tokio::spawn(relay.run(leader));
     tokio::spawn(join::ensure_joined(client, identity.clone(), status));
     logging::PROCESS_STARTED.log_fields(&[
         ("program", "fleet".into()),
--- a/src/fleet/web.rs
+++ b/src/fleet/web.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::Request;
 use http::Response;
@@ -11,37 +10,31 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 
-use super::Mailbox;
+use super::heartbeat;
+use super::leader::Leader;
 use super::metrics::Metrics;
 use super::relay::Relay;
-use crate::adapters::fleet::Client;
 use crate::adapters::http1::Body;
 use crate::domain::catalog::Catalog;
 use crate::domain::fleet::Announcement;
 use crate::domain::fleet::Answer;
 use crate::domain::fleet::Call;
 use crate::domain::fleet::Document;
-use crate::domain::fleet::Event;
-use crate::domain::fleet::log_membership;
 use crate::logging;
+use crate::platform;
 use crate::platform::configuration;
-use crate::platform::heartbeat;
 use crate::platform::path;
 
 /// Largest catalog or heartbeat that is accepted.
 const MAX_BODY_BYTES: usize = 8 << 20;
-/// Timeout of a call to the leader; callers try another controller after a second.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(850);
 
 /// Answers calls of VMs and operators.
 #[derive(Clone)]
 pub(super) struct Server {
-    pub(super) mailbox: Mailbox,
-    pub(super) client: Client,
+    pub(super) leader: Leader,
     pub(super) relay: Relay,
     pub(super) metrics: Metrics,
-    /// Port on which every controller serves VMs and operators.
-    pub(super) port: u16,
+    /// Address for VMs and operators; its port is the same at every controller.
     pub(super) own_address: SocketAddr,
 }
 
@@ -77,7 +70,7 @@
                 zone: zone.to_owned(),
                 out: false,
             },
-            path::Call::Heartbeat(id) => match heartbeat::decode(id, &body) {
+            path::Call::Heartbeat(id) => match platform::heartbeat::decode(id, &body) {
                 Ok(announcement) => return self.announce(announcement).await,
                 Err(reason) => {
                     logging::HEARTBEAT_REFUSED
@@ -91,7 +84,7 @@
             }
             path::Call::Unknown => return reply(StatusCode::NOT_FOUND, "no such call"),
         };
-        match self.ask(call).await {
+        match self.leader.ask(call).await {
             Some(Answer::Done) => reply(StatusCode::OK, "{}"),
             Some(Answer::Text(Some(text))) => match text.text() {
                 Ok(text) => reply(StatusCode::OK, text),
@@ -102,46 +95,15 @@
         }
     }
 
-    /// Passes a heartbeat on to the leader. Only the leader acknowledges that a VM shuts down, so such a
-    /// heartbeat waits for its answer.
     async fn announce(&self, announcement: Announcement) -> Response<Body> {
-        let zone = announcement.zone.clone();
-        let announcement = Box::new(announcement);
-        let is_acknowledged = if announcement.draining {
-            self.relay.forget(&announcement.id);
-            matches!(self.ask(Call::Announce(announcement)).await, Some(Answer::Done))
-        } else {
-            self.relay.take_heartbeat(announcement).await
-        };
-        if !is_acknowledged {
+        let (id, zone) = (announcement.id.clone(), announcement.zone.clone());
+        if !heartbeat::announce(&self.relay, &self.leader, Box::new(announcement)).await {
             return reply(StatusCode::SERVICE_UNAVAILABLE, "no leader in reach");
         }
-        let controller = self.relay.controller_in(&zone);
-        let next = controller.map_or(self.own_address, |c| SocketAddr::new(c.ip(), self.port));
-        reply(StatusCode::OK, heartbeat::encode_answer(next))
-    }
-
-    /// Calls the core of this controller, and the leader if the core redirects there. None without an
-    /// answer in time, and when no leader is known or the redirect's target does not lead.
-    async fn ask(&self, call: Call) -> Option<Answer> {
-        let forwarded_call = call.clone();
-        let local_answer = self.mailbox.ask(|ticket| Event::Call { ticket, call });
-        let local_answer = tokio::time::timeout(LEADER_TIMEOUT, local_answer).await.ok()?;
-        let Answer::Redirect(leader) = local_answer else {
-            return Some(local_answer);
-        };
-        let leader = log_membership::controller_address(&leader?).parse().ok()?;
-        let answer = self
-            .client
-            .call_at(leader, &forwarded_call, LEADER_TIMEOUT)
-            .await?;
-        match answer {
-            Answer::Redirect(_) => None,
-            answer => {
-                self.client.set_leader(Some(leader));
-                Some(answer)
-            }
-        }
+        let port = self.own_address.port();
+        let next = self.relay.heartbeat_address(&zone, &id, port);
+        let next = next.unwrap_or(self.own_address);
+        reply(StatusCode::OK, platform::heartbeat::encode_answer(next))
     }
 }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -15,6 +15,9 @@
 use crate::adapters::fleet::Client;
 use crate::adapters::http1;
 use crate::domain::catalog::Catalog;
+use crate::domain::fleet::Announcement;
+use crate::domain::fleet::Handling;
+use crate::domain::fleet::Heartbeats;
 use crate::domain::gateway::Balancer;
 use crate::domain::gateway::Budget;
 use crate::domain::gateway::Demand;
@@ -35,8 +38,10 @@
     balancer: Mutex<Balancer>,
     budget: Mutex<Budget>,
     demand: Mutex<Demand>,
+    heartbeats: Mutex<Heartbeats>,
     catalog: Mutex<Option<Arc<Catalog>>>,
-    /// Start of the catalog's lease, in milliseconds of the process's clock.
+    /// Start of the catalog's lease: when the leader last confirmed its version, in milliseconds of the
+    /// process's clock.
     lease_start_ms: AtomicU64,
     /// Whether the leader has ever sent targets.
     has_targets: AtomicBool,
@@ -63,6 +68,7 @@
             )),
             budget: Mutex::default(),
             demand: Mutex::default(),
+            heartbeats: Mutex::default(),
             catalog: Mutex::default(),
             lease_start_ms: AtomicU64::new(0),
             has_targets: AtomicBool::new(false),
@@ -80,6 +86,18 @@
         catalog.clone().filter(|_| is_valid)
     }
 
+    /// Whether the leader has confirmed this gateway's data within `validity`.
+    pub(super) fn is_in_contact(&self, validity: Duration) -> bool {
+        let confirmed_at = Duration::from_millis(self.lease_start_ms.load(Ordering::Relaxed));
+        clock::now() < confirmed_at + validity
+    }
+
+    /// How to handle a heartbeat that has just arrived.
+    pub(super) fn receive_heartbeat(&self, announcement: &Announcement) -> Handling {
+        let controller = self.controllers.relay();
+        self.heartbeats().receive(clock::now(), controller, announcement)
+    }
+
     /// Version of the latest catalog, also when its lease has expired; 0 for none.
     pub(super) fn catalog_version(&self) -> u64 {
         let catalog = self.catalog.lock().expect("no panic under this lock");
@@ -131,4 +149,8 @@
     pub(super) fn demand(&self) -> MutexGuard<'_, Demand> {
         self.demand.lock().expect("no panic under this lock")
     }
+
+    pub(super) fn heartbeats(&self) -> MutexGuard<'_, Heartbeats> {
+        self.heartbeats.lock().expect("no panic under this lock")
+    }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -75,7 +75,8 @@
     // Known only if the variable, and not the option, names it; otherwise seeds are never reloaded.
     let settings_file = std::env::var_os("HEATHERRAMP_SETTINGS").map(PathBuf::from);
     let (shared, name) = (context.clone(), settings.name.clone());
-    tokio::spawn(sync::run(shared, name, settings_file));
+    let heartbeat_address = settings.listen_status.to_string();
+    tokio::spawn(sync::run(shared, name, heartbeat_address, settings_file));
     logging::PROCESS_STARTED.log_fields(&[
         ("program", "gateway".into()),
         ("listen", settings.listen.to_string().as_str().into()),
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -5,19 +5,41 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 
 use super::context::Context;
+use super::heartbeat;
 use crate::adapters::http1::Body;
+use crate::platform::path;
+
+/// Largest heartbeat that is accepted.
+const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
 
 /// Answers one request to the port for readiness or the one for metrics; both serve the same paths.
 pub(super) async fn handle(context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
+    if let path::Call::Heartbeat(id) = path::parse(request.method(), request.uri().path()) {
+        let id = id.to_owned();
+        let body = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES)
+            .collect()
+            .await;
+        let (status, text) = match body {
+            Ok(body) => heartbeat::handle(&context, &id, &body.to_bytes()).await,
+            Err(_) => (StatusCode::PAYLOAD_TOO_LARGE, String::new()),
+        };
+        return answer(status, text);
+    }
     let (status, text) = match request.uri().path() {
         "/readyz" if context.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
         "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         "/metrics" => (StatusCode::OK, context.metrics.text()),
         _ => (StatusCode::NOT_FOUND, String::new()),
     };
+    answer(status, text)
+}
+
+fn answer(status: StatusCode, text: String) -> Response<Body> {
     let mut response = Response::new(Body::whole(text));
     *response.status_mut() = status;
     response
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -3,6 +3,7 @@
 //! The controller holds a report until something has changed or its poll interval has passed, so the
 //! gateway sends the next one right after the answer.
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,8 +14,11 @@
 use crate::domain::catalog::Compressed;
 use crate::domain::fleet::Answer;
 use crate::domain::fleet::Call;
+use crate::domain::fleet::Overview;
 use crate::domain::fleet::Report;
 use crate::domain::fleet::Table;
+use crate::domain::fleet::TargetLog;
+use crate::domain::fleet::share;
 use crate::logging;
 use crate::settings;
 
@@ -27,42 +31,65 @@
 const MAX_FETCHES: u32 = 3;
 /// Delay after a failed report or fetch.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
+/// Silence after which the gateway forgets a VM that has sent its heartbeats here.
+const HEARTBEAT_RETENTION: Duration = Duration::from_secs(15);
 /// Number of failed reports in a row after which the settings file is read again for new seeds.
 const FAILURES_BEFORE_RELOAD: u32 = 8;
 
 /// What the gateway holds from the leader, and how its reports fare.
 #[derive(Default)]
 struct State {
-    /// Term and revision of the targets that the gateway holds.
-    revision: (u64, u64),
+    targets: TargetLog,
     /// Version of the catalog that the gateway holds; 0 for none.
     version: u64,
     /// Whether the leader answers, or the catalog's lease has not expired since it did.
     is_connected: bool,
-    /// Failed reports since a table was last applied.
+    /// Failed reports since an overview was last applied.
     failures: u32,
 }
 
+/// What the last report said that its answer is combined with.
+struct Sent {
+    at: Duration,
+    running: BTreeMap<String, u32>,
+    demand: f64,
+}
+
 /// Reports to a controller and applies its answers until the process ends.
-pub(super) async fn run(context: Arc<Context>, name: String, settings_file: Option<PathBuf>) {
+///
+/// VMs may send their heartbeats to `heartbeat_address`.
+pub(super) async fn run(
+    context: Arc<Context>,
+    name: String,
+    heartbeat_address: String,
+    settings_file: Option<PathBuf>,
+) {
     // Controllers keep one report for each identity, so two processes must not share one, even if
     // their settings have the same name or one is a restart of the other.
     let identity = format!("{name}#{:08x}", rand::random::<u32>());
     let mut state = State::default();
     loop {
         let sent_at = clock::now();
-        let call = Call::Report(Box::new(build_report(&context, &identity, &state)));
-        if let Some(Answer::Table(table)) = context.controllers.call_relay(&call, REPORT_TIMEOUT).await {
+        let report = build_report(&context, &identity, &heartbeat_address, &state);
+        let sent = Sent {
+            at: sent_at,
+            running: report.running.clone(),
+            demand: report.demand.values().sum(),
+        };
+        let call = Call::Report(Box::new(report));
+        if let Some(Answer::Overview(overview)) = context.controllers.call_relay(&call, REPORT_TIMEOUT).await
+        {
             context.metrics.reports.with_label_values(&["answered"]).inc();
-            if let Some(compressed) = &table.catalog {
+            if let Some(compressed) = &overview.catalog {
                 apply_catalog(&context, &mut state, compressed);
-            } else if table.version > state.version {
+            } else if overview.version > state.version {
                 fetch_catalog(&context, &mut state).await;
             }
-            if apply_table(&context, &mut state, sent_at, &table) {
+            if apply_overview(&context, &mut state, &sent, *overview) {
                 continue;
             }
         }
+        context.heartbeats().reset();
         context.metrics.reports.with_label_values(&["failed"]).inc();
         state.failures += 1;
         if state.is_connected && context.catalog().is_none() {
@@ -81,18 +108,24 @@
     }
 }
 
-fn build_report(context: &Context, identity: &str, state: &State) -> Report {
+fn build_report(context: &Context, identity: &str, heartbeat_address: &str, state: &State) -> Report {
     let now = clock::now();
+    let is_draining = context.is_draining();
+    let controller = context.controllers.relay();
+    let renewed = context
+        .heartbeats()
+        .take_renewals(now, controller, HEARTBEAT_RETENTION);
     let balancer = context.balancer();
     Report {
         gateway: identity.to_owned(),
-        targets: state.revision,
+        targets: state.targets.revision(),
         version: state.version,
         running: balancer.running(),
         served: balancer.served(now),
         stalled: balancer.stalled(now),
         demand: context.demand().averages(now).clone(),
-        draining: context.is_draining(),
+        heartbeat_address: (!is_draining).then(|| heartbeat_address.to_owned()),
+        renewed,
     }
 }
 
@@ -136,35 +169,50 @@
     Catalog::try_from(definition).map_err(|e| e.to_string())
 }
 
-/// Applies a table that answers the report sent at `sent_at`; returns false for one that must not be
-/// applied.
-fn apply_table(context: &Context, state: &mut State, sent_at: Duration, table: &Table) -> bool {
-    // Without the catalog of the table's version, the lease must not be renewed: the older catalog may
+/// Applies the answer to a report; returns false for one that must not be applied.
+fn apply_overview(context: &Context, state: &mut State, sent: &Sent, overview: Overview) -> bool {
+    // Without the catalog of the overview's version, the lease must not be renewed: the older catalog may
     // hold keys that have been withdrawn. A controller that is behind the last one may name targets
     // that have been closed since.
-    if table.version > state.version || table.revision < state.revision {
+    if overview.version > state.version || overview.revision < state.targets.revision() {
         return false;
     }
-    if let Some(targets) = &table.targets {
-        state.revision = table.revision;
-        context.metrics.targets.set(targets.len() as i64);
+    let mut running = overview.running;
+    let has_new_targets = overview.update.is_some();
+    if let Some(update) = overview.update {
+        state.targets.apply(overview.revision, update);
+        let count = running.len() as u64;
+        context.metrics.targets.set(count as i64);
         logging::TARGETS_CHANGED.log_fields(&[
-            ("term", table.revision.0.into()),
-            ("revision", table.revision.1.into()),
-            ("targets", (targets.len() as u64).into()),
-            ("closed", (table.closed.len() as u64).into()),
+            ("term", overview.revision.0.into()),
+            ("revision", overview.revision.1.into()),
+            ("targets", count.into()),
+            ("closed", (overview.closed.len() as u64).into()),
         ]);
     }
-    context.balancer().update(clock::now(), table);
-    let confirmed_at = sent_at.saturating_sub(Duration::from_millis(table.age_ms));
-    context.renew_lease(confirmed_at, table.targets.is_some());
-    context.controllers.set_controllers(&table.controllers);
+    let own_running = state.targets.in_order(&sent.running);
+    for (total, own) in running.iter_mut().zip(own_running) {
+        *total = total.saturating_sub(own);
+    }
+    let table = Table {
+        targets: has_new_targets.then(|| state.targets.targets().cloned().collect()),
+        closed: overview.closed,
+        zones_out: overview.zones_out,
+        running: state.targets.by_target(&running),
+        stalled: overview.stalled,
+        share: share(sent.demand, overview.demand, overview.gateways),
+        gateways: overview.gateways,
+    };
+    context.balancer().update(clock::now(), &table);
+    let confirmed_at = sent.at.saturating_sub(Duration::from_millis(overview.age_ms));
+    context.renew_lease(confirmed_at, has_new_targets);
+    context.controllers.set_controllers(&overview.controllers);
     context.room.notify_waiters();
     state.failures = 0;
     if !state.is_connected {
         state.is_connected = true;
         logging::CONTROLLER_FOUND.log_fields(&[
-            ("term", table.revision.0.into()),
+            ("term", overview.revision.0.into()),
             ("version", state.version.into()),
         ]);
     }
