fleet: reports are never held for longer than gateways wait

Cause: a relay paced reports by the gateways that it had heard from within 20 s. After a change of leader all 95 had passed through each relay, reports were held for 475 ms, gateways gave up after 450 ms and turned to the next relay. Heartbeats were refused, up to 160 a second in two zones. Ruled out: processor time (controllers used 0.05 of 0.3 cores).

Only gateways that report count now, and the wait has a bound.

--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -34,7 +34,9 @@
 /// others.
 const GATEWAY_EXPIRY: Duration = Duration::from_secs(20);
 /// Reports that a relay answers per second at most; with more gateways each reports less often.
-const MAX_REPORTS_PER_S: u64 = 200;
+const MAX_REPORTS_PER_S: u64 = 400;
+/// Longest wait of a report for a change with many gateways; shorter than their time limit for an answer.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Input to [`Relay::step`].
 #[derive(Clone, Debug)]
@@ -223,9 +225,13 @@
     }
 
     /// Longest wait of a report for a change.
-    fn report_interval(&self) -> Duration {
-        let paced_ms = self.gateways.len() as u64 * 1_000 / MAX_REPORTS_PER_S;
-        Duration::from_millis(self.timing.poll_ms.max(paced_ms))
+    ///
+    /// Gateways that have turned to another controller do not count.
+    fn report_interval(&self, now: Duration) -> Duration {
+        let reporting = self.gateways.values().filter(|g| is_fresh(g, now)).count();
+        let paced = Duration::from_millis(reporting as u64 * 1_000 / MAX_REPORTS_PER_S);
+        let shortest = Duration::from_millis(self.timing.poll_ms);
+        paced.max(shortest).min(MAX_REPORT_INTERVAL)
     }
 
     fn receive_report(&mut self, now: Duration, ticket: Ticket, mut report: Report) {
@@ -238,7 +244,7 @@
             version: report.version,
             zone_changes: self.zone_changes,
             arrived_at: now,
-            deadline: now + self.report_interval(),
+            deadline: now + self.report_interval(now),
         });
         for (target, count) in &report.running {
             match self.running.get_mut(target) {
--- a/src/domain/fleet/reports.rs
+++ b/src/domain/fleet/reports.rs
@@ -21,9 +21,9 @@
 /// of limits go to the others.
 const PEER_EXPIRY: Duration = Duration::from_secs(20);
 /// Interval of digests with few gateways; half of the interval of a gateway's reports.
-const MIN_DIGEST_INTERVAL: Duration = Duration::from_millis(50);
+const MIN_DIGEST_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval of digests for each gateway, with many.
-const DIGEST_INTERVAL_PER_GATEWAY: Duration = Duration::from_micros(500);
+const DIGEST_INTERVAL_PER_GATEWAY: Duration = Duration::from_micros(300);
 /// Largest compressed catalog that a routing table carries. For a smaller one, a separate call costs
 /// more than its bytes in the table.
 const MAX_INLINE_CATALOG_BYTES: usize = 8 << 10;
--- a/src/domain/fleet/timing.rs
+++ b/src/domain/fleet/timing.rs
@@ -16,7 +16,8 @@
     pub heartbeat_ms: u64,
     /// Time after which a head that has lost a member refuses requests, in milliseconds.
     pub stall_ms: u64,
-    /// Longest time for which a gateway's report waits for a changed routing table, in milliseconds.
+    /// Longest time for which a gateway's report waits for a change, in milliseconds; with many gateways
+    /// they wait longer.
     pub poll_ms: u64,
     /// Voters that the replicated log should have.
     pub voters: usize,
@@ -29,8 +30,9 @@
         Timing {
             heartbeat_ms: 1_200,
             stall_ms: 4_000,
-            // Gateways learn each other's load from these answers; 100 ms is two passes of an engine.
-            poll_ms: 100,
+            // Gateways learn each other's load from these answers; an engine takes on new requests
+            // about every 50 ms.
+            poll_ms: 40,
             voters: 5,
             voter_lost_ms: 4_000,
         }
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -22,25 +22,32 @@
 
 /// Takes over a heartbeat of the VM `id`; returns status and body of the answer.
 pub(super) async fn handle(context: &Context, id: &str, body: &Bytes) -> (StatusCode, String) {
-    let unavailable = (StatusCode::SERVICE_UNAVAILABLE, String::new());
-    if context.is_draining() || !context.is_in_contact(CONTACT_VALIDITY) {
-        return unavailable;
-    }
-    let announcement = match platform::heartbeat::decode(id, body) {
-        Ok(announcement) => announcement,
-        Err(reason) => {
+    match acknowledge(context, id, body).await {
+        Ok(()) => (StatusCode::OK, "{}".to_owned()),
+        Err((status, reason)) => {
             logging::HEARTBEAT_REFUSED.log_fields(&[("vm", id.into()), ("reason", reason.as_str().into())]);
-            return (StatusCode::BAD_REQUEST, reason);
+            (status, reason)
         }
-    };
+    }
+}
+
+async fn acknowledge(context: &Context, id: &str, body: &Bytes) -> Result<(), (StatusCode, String)> {
+    let unavailable = |reason: &str| Err((StatusCode::SERVICE_UNAVAILABLE, reason.to_owned()));
+    if context.is_draining() {
+        return unavailable("shutting down");
+    }
+    if !context.is_in_contact(CONTACT_VALIDITY) {
+        return unavailable("no leader in reach");
+    }
+    let announcement = platform::heartbeat::decode(id, body).map_err(|e| (StatusCode::BAD_REQUEST, e))?;
     let is_acknowledged = match context.receive_heartbeat(&announcement) {
         Handling::Renew => true,
         Handling::Forward => forward(context, announcement).await,
     };
     if is_acknowledged {
-        (StatusCode::OK, "{}".to_owned())
+        Ok(())
     } else {
-        unavailable
+        unavailable("not acknowledged by the controller")
     }
 }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -387,3 +387,26 @@
     }
     assert!(log.since((3, 1)).unwrap().is_whole);
 }
+
+/// All gateways may turn to one controller at the same time. It then holds each report for longer, but not
+/// for so long that the gateways give up and turn away.
+#[test]
+fn reports_of_many_gateways_are_answered_within_their_time_limit() {
+    const REPORT_TIMEOUT_MS: u64 = 450;
+    let mut relay = relay("a");
+    let mut answered_at = Vec::new();
+    for now in (0..4_000).step_by(20) {
+        let answers = relay.step(ms(now), Input::Overview(ms(now), overview(1, 1)));
+        answered_at.extend(answers.iter().map(|_| now));
+        if now == 1_000 {
+            for gateway in 0..300 {
+                let report = report(&format!("g{gateway}"), (1, 1), 0);
+                let answers = relay.step(ms(now), Input::Report(gateway, report));
+                assert!(answers.is_empty(), "a report with current data was not held");
+            }
+        }
+    }
+    assert_eq!(answered_at.len(), 300);
+    let latest = answered_at.iter().max().unwrap() - 1_000;
+    assert!(latest < REPORT_TIMEOUT_MS / 2 + 50, "answered after {latest} ms");
+}
