gateway: a VM that leaves tells the leader through its gateway, too

Cause: VMs send their DELETE to the address of their heartbeats; gateways answered it with 404, which ends the call, so the leader went on naming the VM.

--- a/src/domain/fleet/heartbeats.rs
+++ b/src/domain/fleet/heartbeats.rs
@@ -103,6 +103,11 @@
         pending.map(renewal).collect()
     }
 
+    /// Forgets a VM that shuts down.
+    pub fn forget(&mut self, id: &str) {
+        self.vms.remove(id);
+    }
+
     /// Forgets all heartbeats, because a report had no answer.
     pub fn reset(&mut self) {
         self.vms.clear();
--- a/src/fleet/heartbeat.rs
+++ b/src/fleet/heartbeat.rs
@@ -18,3 +18,9 @@
     let answer = leader.ask(Call::Announce(announcement)).await;
     matches!(answer, Some(Answer::Done))
 }
+
+/// Tells the leader that a VM has shut down; returns whether it is acknowledged.
+pub(super) async fn leave(relay: &Relay, leader: &Leader, id: String) -> bool {
+    relay.forget(&id);
+    matches!(leader.ask(Call::Leave { id }).await, Some(Answer::Done))
+}
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -38,19 +38,7 @@
             Some(Request::Consensus(envelope)) => self.receive_consensus(envelope),
             Some(Request::Fleet(call)) => match serde_json::from_slice::<Call>(&call.call_json) {
                 Ok(call) => {
-                    let answer = match call {
-                        Call::Report(report) => self.relay.report(report).await,
-                        Call::Announce(announcement) => {
-                            let is_acknowledged =
-                                heartbeat::announce(&self.relay, &self.leader, announcement).await;
-                            if is_acknowledged {
-                                Answer::Done
-                            } else {
-                                Answer::Redirect(None)
-                            }
-                        }
-                        call => self.mailbox.ask(|ticket| Event::Call { ticket, call }).await,
-                    };
+                    let answer = self.answer(call).await;
                     Reply::FleetJson(serde_json::to_vec(&answer).expect("answers have string keys"))
                 }
                 Err(e) => Reply::Error(e.to_string()),
@@ -59,6 +47,22 @@
         }
     }
 
+    async fn answer(&self, call: Call) -> Answer {
+        let is_acknowledged = match call {
+            Call::Report(report) => return self.relay.report(report).await,
+            Call::Announce(announcement) => {
+                heartbeat::announce(&self.relay, &self.leader, announcement).await
+            }
+            Call::Leave { id } => heartbeat::leave(&self.relay, &self.leader, id).await,
+            call => return self.mailbox.ask(|ticket| Event::Call { ticket, call }).await,
+        };
+        if is_acknowledged {
+            Answer::Done
+        } else {
+            Answer::Redirect(None)
+        }
+    }
+
     /// Passes a message of the consensus protocol to the core.
     fn receive_consensus(&self, envelope: wire::Consensus) -> Reply {
         // A message for an identity whose disk was lost must not reach the identity that replaced it.
--- a/src/fleet/web.rs
+++ b/src/fleet/web.rs
@@ -79,8 +79,10 @@
                 }
             },
             path::Call::Leave(id) => {
-                self.relay.forget(id);
-                Call::Leave { id: id.to_owned() }
+                if heartbeat::leave(&self.relay, &self.leader, id.to_owned()).await {
+                    return reply(StatusCode::OK, "{}");
+                }
+                return reply(StatusCode::SERVICE_UNAVAILABLE, "no leader in reach");
             }
             path::Call::Unknown => return reply(StatusCode::NOT_FOUND, "no such call"),
         };
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -1,5 +1,6 @@
 //! Heartbeats of VMs, which gateways take over for the controllers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,7 +8,6 @@
 
 use super::context::Context;
 use crate::adapters::clock;
-use crate::domain::fleet::Announcement;
 use crate::domain::fleet::Answer;
 use crate::domain::fleet::Call;
 use crate::domain::fleet::Handling;
@@ -20,9 +20,21 @@
 /// their interval, so that at most one heartbeat of a VM is acknowledged in vain.
 const CONTACT_VALIDITY: Duration = Duration::from_millis(1_000);
 
+/// Status and reason of a refusal.
+type Refusal = (StatusCode, String);
+
 /// Takes over a heartbeat of the VM `id`; returns status and body of the answer.
 pub(super) async fn handle(context: &Context, id: &str, body: &Bytes) -> (StatusCode, String) {
-    match acknowledge(context, id, body).await {
+    answer(id, receive(context, id, body).await)
+}
+
+/// Tells the leader that the VM `id` has shut down; returns status and body of the answer.
+pub(super) async fn handle_leave(context: &Context, id: &str) -> (StatusCode, String) {
+    answer(id, leave(context, id).await)
+}
+
+fn answer(id: &str, result: Result<(), Refusal>) -> (StatusCode, String) {
+    match result {
         Ok(()) => (StatusCode::OK, "{}".to_owned()),
         Err((status, reason)) => {
             logging::HEARTBEAT_REFUSED.log_fields(&[("vm", id.into()), ("reason", reason.as_str().into())]);
@@ -31,40 +43,48 @@
     }
 }
 
-async fn acknowledge(context: &Context, id: &str, body: &Bytes) -> Result<(), (StatusCode, String)> {
-    let unavailable = |reason: &str| Err((StatusCode::SERVICE_UNAVAILABLE, reason.to_owned()));
+async fn receive(context: &Context, id: &str, body: &Bytes) -> Result<(), Refusal> {
+    check_contact(context)?;
+    let announcement = platform::heartbeat::decode(id, body).map_err(|e| (StatusCode::BAD_REQUEST, e))?;
+    if context.receive_heartbeat(&announcement) == Handling::Forward {
+        let controller = forward(context, Call::Announce(Box::new(announcement.clone()))).await?;
+        let mut heartbeats = context.heartbeats();
+        heartbeats.record_acknowledged(clock::now(), Some(controller), announcement);
+    }
+    Ok(())
+}
+
+async fn leave(context: &Context, id: &str) -> Result<(), Refusal> {
+    check_contact(context)?;
+    context.heartbeats().forget(id);
+    forward(context, Call::Leave { id: id.to_owned() }).await?;
+    Ok(())
+}
+
+fn check_contact(context: &Context) -> Result<(), Refusal> {
     if context.is_draining() {
-        return unavailable("shutting down");
+        return Err(unavailable("shutting down"));
     }
     if !context.is_in_contact(CONTACT_VALIDITY) {
-        return unavailable("no leader in reach");
-    }
-    let announcement = platform::heartbeat::decode(id, body).map_err(|e| (StatusCode::BAD_REQUEST, e))?;
-    let is_acknowledged = match context.receive_heartbeat(&announcement) {
-        Handling::Renew => true,
-        Handling::Forward => forward(context, announcement).await,
-    };
-    if is_acknowledged {
-        Ok(())
-    } else {
-        unavailable("not acknowledged by the controller")
+        return Err(unavailable("no leader in reach"));
     }
+    Ok(())
+}
+
+fn unavailable(reason: &str) -> Refusal {
+    (StatusCode::SERVICE_UNAVAILABLE, reason.to_owned())
 }
 
-/// Passes a heartbeat on to the controller that answers this gateway's reports.
-async fn forward(context: &Context, announcement: Announcement) -> bool {
-    let Some(controller) = context.controllers.relay() else {
-        return false;
-    };
-    let call = Call::Announce(Box::new(announcement.clone()));
+/// Calls the controller that answers this gateway's reports; returns its address if it has acknowledged.
+async fn forward(context: &Context, call: Call) -> Result<SocketAddr, Refusal> {
+    let controller = context.controllers.relay();
+    let controller = controller.ok_or_else(|| unavailable("no controller in reach"))?;
     let answer = context
         .controllers
         .call_at(controller, &call, FORWARD_TIMEOUT)
         .await;
-    if !matches!(answer, Some(Answer::Done)) {
-        return false;
+    match answer {
+        Some(Answer::Done) => Ok(controller),
+        _ => Err(unavailable("not acknowledged by the controller")),
     }
-    let mut heartbeats = context.heartbeats();
-    heartbeats.record_acknowledged(clock::now(), Some(controller), announcement);
-    true
 }
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -19,16 +19,23 @@
 
 /// Answers one request to the port for readiness or the one for metrics; both serve the same paths.
 pub(super) async fn handle(context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
-    if let path::Call::Heartbeat(id) = path::parse(request.method(), request.uri().path()) {
-        let id = id.to_owned();
-        let body = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES)
-            .collect()
-            .await;
-        let (status, text) = match body {
-            Ok(body) => heartbeat::handle(&context, &id, &body.to_bytes()).await,
-            Err(_) => (StatusCode::PAYLOAD_TOO_LARGE, String::new()),
-        };
-        return answer(status, text);
+    match path::parse(request.method(), request.uri().path()) {
+        path::Call::Heartbeat(id) => {
+            let id = id.to_owned();
+            let body = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES)
+                .collect()
+                .await;
+            let (status, text) = match body {
+                Ok(body) => heartbeat::handle(&context, &id, &body.to_bytes()).await,
+                Err(_) => (StatusCode::PAYLOAD_TOO_LARGE, String::new()),
+            };
+            return answer(status, text);
+        }
+        path::Call::Leave(id) => {
+            let (status, text) = heartbeat::handle_leave(&context, id).await;
+            return answer(status, text);
+        }
+        _ => {}
     }
     let (status, text) = match request.uri().path() {
         "/readyz" if context.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -44,7 +44,6 @@
 
 fn table(targets: Vec<Target>) -> Table {
     Table {
-        revision: (1, 1),
         targets: Some(targets),
         gateways: 2,
         share: 0.5,
