fleet, gateway: a change of leader leaves no stale counts

Cause: in a change of leader the relays went on calling the dead leader, and gateways kept the other gateways' requests of a busy moment; they refused their callers while targets ran empty.

Relays follow the leader that their own log shows, and counts lose weight while no table comes.

--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -22,6 +22,11 @@
 const FAIR_SHARE_FILL: f64 = 0.75;
 /// Reduction of the load score for targets in the own availability zone, as a fraction of their slots.
 const LOCAL_ZONE_BONUS: f64 = 0.04;
+/// Age of the last table up to which its counts of other gateways' requests hold; tables come at least
+/// this often.
+const COUNT_VALIDITY: Duration = Duration::from_millis(400);
+/// Time in which these counts then lose their weight: about the time in which requests end.
+const COUNT_FADE_TIME: Duration = Duration::from_millis(1_000);
 /// Time after an answer or event during which a gateway reports a target as serving.
 const SERVED_WINDOW: Duration = Duration::from_millis(1_000);
 /// Time for which a gateway remembers that a target shuts down; by then its process has ended.
@@ -95,6 +100,8 @@
     trackers: BTreeMap<String, Tracker>,
     /// Availability zones that are out of service.
     zones_out: Vec<String>,
+    /// When the last table was applied.
+    updated_at: Duration,
     /// Number of gateways that share limits, at least 1.
     gateways: usize,
     /// Targets that have said that they shut down, by identifier and incarnation, and when they did.
@@ -119,6 +126,7 @@
             settings,
             trackers: BTreeMap::new(),
             zones_out: Vec::new(),
+            updated_at: Duration::ZERO,
             gateways: 1,
             leaving: BTreeMap::new(),
             paused_until: BTreeMap::new(),
@@ -134,6 +142,7 @@
         self.leaving.retain(|_, at| now < *at + LEAVING_RETENTION);
         self.paused_until.retain(|_, until| now < *until);
         self.zones_out.clone_from(&table.zones_out);
+        self.updated_at = now;
         self.gateways = table.gateways.max(1);
         self.share = table.share;
         for (id, tracker) in &mut self.trackers {
@@ -186,15 +195,15 @@
             .collect();
         let pool = if untried.is_empty() { pool } else { &untried };
         let is_free = |t: &&&Tracker| {
-            self.has_room(t, criteria.reserve)
+            self.has_room(now, t, criteria.reserve)
                 && self.is_within_rate(now, t, criteria.service)
                 && self.pause_of(now, t).is_zero()
         };
         let free: Vec<&Tracker> = pool.iter().filter(is_free).copied().collect();
-        match self.least_loaded(&free, criteria.draw) {
+        match self.least_loaded(now, &free, criteria.draw) {
             Some(tracker) => Choice::Send {
                 target: tracker.target.clone(),
-                load: tracker.load(),
+                load: self.load(now, tracker),
             },
             None => {
                 let shortest_pause = pool.iter().map(|t| self.pause_of(now, t)).min();
@@ -208,8 +217,8 @@
     /// Gateways learn of each other's requests only with the next report. If each compared all
     /// targets, all of them would send a burst of prompts to the one that was the least loaded
     /// at the last report.
-    fn least_loaded<'a>(&self, free: &[&'a Tracker], draw: u64) -> Option<&'a Tracker> {
-        let by_score = |a: &&Tracker, b: &&Tracker| self.score(a).total_cmp(&self.score(b));
+    fn least_loaded<'a>(&self, now: Duration, free: &[&'a Tracker], draw: u64) -> Option<&'a Tracker> {
+        let by_score = |a: &&Tracker, b: &&Tracker| self.score(now, a).total_cmp(&self.score(now, b));
         let compared = self.settings.compared.max(1);
         if free.len() <= compared as usize {
             return free.iter().copied().min_by(by_score);
@@ -381,14 +390,26 @@
         tracker.next_allowed.max(earliest_first) <= now
     }
 
+    /// Requests in progress at a target, from all gateways.
+    ///
+    /// While no table comes, as during a change of leader, the requests of other gateways end unseen. Their
+    /// count then loses weight: with counts kept from a busy moment every gateway would refuse its
+    /// callers while the targets run empty.
+    fn load(&self, now: Duration, tracker: &Tracker) -> u32 {
+        let age = now.saturating_sub(self.updated_at);
+        let faded = age.saturating_sub(COUNT_VALIDITY).as_secs_f64() / COUNT_FADE_TIME.as_secs_f64();
+        let weight = (1.0 - faded).max(0.0);
+        tracker.running + (f64::from(tracker.running_elsewhere) * weight).round() as u32
+    }
+
     /// Whether a target has room for one more request.
     ///
     /// Near the limit several gateways may see the same free slot and take it before the next
     /// report, so from [`FAIR_SHARE_FILL`] on each one keeps to its own share of an engine. A target
     /// without a model is no engine; only its limit counts.
-    fn has_room(&self, tracker: &Tracker, reserve: u32) -> bool {
+    fn has_room(&self, now: Duration, tracker: &Tracker, reserve: u32) -> bool {
         let limit = self.request_limit(tracker).saturating_sub(reserve).max(1);
-        let load = tracker.load();
+        let load = self.load(now, tracker);
         if load >= limit || tracker.target.model.is_none() {
             return load < limit;
         }
@@ -410,8 +431,8 @@
 
     /// Load score of a target, of which the lowest is preferred: the fraction of its slots in use, less
     /// [`LOCAL_ZONE_BONUS`] in the own availability zone.
-    fn score(&self, tracker: &Tracker) -> f64 {
-        let used = f64::from(tracker.load()) / f64::from(tracker.target.slots.max(1));
+    fn score(&self, now: Duration, tracker: &Tracker) -> f64 {
+        let used = f64::from(self.load(now, tracker)) / f64::from(tracker.target.slots.max(1));
         if tracker.target.zone == self.zone {
             used - LOCAL_ZONE_BONUS
         } else {
--- a/src/domain/gateway/tracker.rs
+++ b/src/domain/gateway/tracker.rs
@@ -56,11 +56,6 @@
         }
     }
 
-    /// Requests in progress from all gateways.
-    pub(super) fn load(&self) -> u32 {
-        self.running + self.running_elsewhere
-    }
-
     /// Whether no open stream of the target has sent an event for too long.
     pub(super) fn has_silent_streams(&self, now: Duration) -> bool {
         let last_activity = self.last_activity.unwrap_or(Duration::ZERO);
--- a/src/fleet/relay.rs
+++ b/src/fleet/relay.rs
@@ -21,7 +21,7 @@
 use crate::domain::fleet::Timing;
 
 /// Time limit for the answer to a digest, which the leader holds for 20 ms, or 90 ms with 300 gateways.
-const DIGEST_TIMEOUT: Duration = Duration::from_millis(400);
+const DIGEST_TIMEOUT: Duration = Duration::from_millis(300);
 /// Delay after a digest without an answer.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -84,11 +84,12 @@
         zone: zone.to_owned(),
     };
     let relay = Relay::new(controller, timing.clone());
-    let leader = Leader {
-        mailbox: mailbox.clone(),
-        client: client.clone(),
-        own_address: settings.peer_address(),
-    };
+    let leader = Leader::new(
+        mailbox.clone(),
+        client.clone(),
+        status.clone(),
+        settings.peer_address(),
+    );
     let core = Core::new(
         &identity,
         timing,
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -401,3 +401,23 @@
     assert_eq!(ask(&balancer, 1_499, &service), Choice::Full(ms(50)));
     assert_eq!(chosen_id(ask(&balancer, 1_501, &service)), "b");
 }
+
+/// During a change of leader the gateways get no tables. With the counts of a busy moment they all refused
+/// their callers while the targets ran empty.
+#[test]
+fn counts_of_other_gateways_lose_weight_while_no_table_comes() {
+    let service = service(0.0);
+    let mut balancer = Balancer::new("z1", 1, Settings::default());
+    let mut table = table(vec![target("a", "z1")]);
+    table.running.insert("a".to_owned(), 10);
+    balancer.update(ms(1_000), &table);
+    assert!(matches!(ask(&balancer, 1_000, &service), Choice::Full(_)));
+    assert!(matches!(ask(&balancer, 1_400, &service), Choice::Full(_)));
+    let load = |now| match ask(&balancer, now, &service) {
+        Choice::Send { load, .. } => load,
+        other => panic!("{other:?} at {now} ms"),
+    };
+    assert_eq!((load(1_900), load(2_400)), (5, 0));
+    balancer.update(ms(2_500), &table);
+    assert!(matches!(ask(&balancer, 2_500, &service), Choice::Full(_)));
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -47,6 +47,14 @@
     pause_ms: Option<u64>,
     /// Answer a request to resume a stream with the identifier of another request.
     answers_as_another: bool,
+    /// State in each answer that this VM shuts down.
+    says_that_it_leaves: bool,
+    /// Answer each request with 503 and this `retry-after`, in seconds, without running it.
+    retry_after: Option<&'static str>,
+    /// Send no more heartbeats.
+    is_silent: bool,
+    /// Address that acknowledged the last heartbeat.
+    heartbeat_address: Option<SocketAddr>,
 }
 
 /// Simulated VM: obeys orders, sends heartbeats, and answers with ten events or by echoing the body.
@@ -78,11 +86,17 @@
         vm
     }
 
+    /// Sends heartbeats to the address that the last answer named, and to the controllers in turn when
+    /// that one does not acknowledge.
     async fn send_heartbeats(self, controllers: Vec<SocketAddr>) {
         let mut controller_index = 0;
+        let mut address = controllers[0];
         loop {
             let body = {
                 let mut state = self.state.lock().unwrap();
+                if state.is_silent {
+                    return;
+                }
                 state.sequence += 1;
                 json!({
                     "service": self.service, "address": self.address.to_string(), "zone": "z1",
@@ -92,20 +106,32 @@
                 })
             };
             let path = format!("/replicas/{}", self.id);
-            let response = call(
-                controllers[controller_index % controllers.len()],
-                "PUT",
-                &path,
-                &body.to_string(),
-                &[],
-            )
-            .await;
-            if response.is_none_or(|(status, _)| status != 200) {
+            let response = call(address, "PUT", &path, &body.to_string(), &[]).await;
+            let acknowledged = response.filter(|(status, _)| *status == 200);
+            if acknowledged.is_none() {
+                address = controllers[0];
+            }
+            match acknowledged {
+                Some((_, body)) => {
+                    self.state.lock().unwrap().heartbeat_address = Some(address);
+                    let answer: Value = serde_json::from_slice(&body).unwrap();
+                    let next = answer["heartbeat-endpoint"].as_str();
+                    address = next.map_or(address, |next| next.parse().unwrap());
+                }
+                None => controller_index += 1,
+            }
+            // Only the controller that the gateway reports to names the gateway, so each is tried.
+            if controllers.contains(&address) {
                 controller_index += 1;
+                address = controllers[controller_index % controllers.len()];
             }
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
     }
+
+    fn request_count(&self) -> usize {
+        self.state.lock().unwrap().requests.len()
+    }
 }
 
 /// Answers an order or a request to a simulated VM.
@@ -137,6 +163,10 @@
         .headers
         .iter()
         .map(|(k, v)| (k.to_string(), v.to_str().unwrap().to_owned()));
+    let (leaves, retry_after) = {
+        let state = state.lock().unwrap();
+        (state.says_that_it_leaves, state.retry_after)
+    };
     let answers_as_another = state.lock().unwrap().answers_as_another && !header("last-event-id").is_empty();
     let (cut_after, pause_ms) = {
         let mut state = state.lock().unwrap();
@@ -165,6 +195,17 @@
     } else {
         Response::new(Body::whole([b"echo ", body.as_ref()].concat()))
     };
+    if leaves {
+        response
+            .headers_mut()
+            .insert("server-leaving", "1".parse().unwrap());
+    }
+    if let Some(seconds) = retry_after {
+        *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+        let headers = response.headers_mut();
+        headers.insert("retry-after", seconds.parse().unwrap());
+        headers.insert("x-not-executed", "1".parse().unwrap());
+    }
     let signature = format!("{id}-signature");
     let echoed = if answers_as_another {
         "another".to_owned()
@@ -270,7 +311,7 @@
 
     fn fleet_settings(&self, index: usize, peer_port: u16) -> Value {
         json!({
-            "name": format!("fleet{index}"), "data_folder": self.folder.join(format!("data{index}")),
+            "name": format!("fleet{index}"), "availability_zone": "z1", "data_folder": self.folder.join(format!("data{index}")),
             "first_start": true, "listen": self.controllers[index], "seeds": self.controllers,
             "peer_port": peer_port, "keys": self.keys(),
             "fleet": {"heartbeat_ms": 200, "stall_ms": 1000},
@@ -627,3 +668,99 @@
         "{complete} complete, {refused} refused"
     );
 }
+
+/// Site with two VMs of the plain service, both in use, that send their heartbeats to the gateway.
+async fn site_with_two_desks(number: u8) -> (Site, Vec<Vm>, String) {
+    let site = Site::start(number);
+    let mut vms = Vec::new();
+    for i in 0..2 {
+        vms.push(Vm::start(&format!("desk{i}"), "desk", site.controllers.clone()).await);
+    }
+    site.call_controllers("PUT", "/configuration", &document(3))
+        .await
+        .unwrap();
+    let bearer = format!("Bearer {ACCOUNT_KEY}");
+    let started = Instant::now();
+    loop {
+        site.send_until("/orders/0", &[("authorization", bearer.as_str())], 200)
+            .await;
+        let is_settled = |vm: &Vm| {
+            vm.request_count() > 0 && vm.state.lock().unwrap().heartbeat_address == Some(site.status)
+        };
+        if vms.iter().all(is_settled) {
+            return (site, vms, bearer);
+        }
+        assert!(
+            started.elapsed() < STATE_TIMEOUT,
+            "the VMs did not turn to the gateway with their heartbeats in time"
+        );
+    }
+}
+
+/// Sends requests one after the other; returns how many of them succeeded.
+async fn send_orders(site: &Site, bearer: &str, count: usize) -> usize {
+    let mut served = 0;
+    for i in 0..count {
+        let answer = site
+            .send_request(&format!("/orders/{i}"), &[("authorization", bearer)])
+            .await;
+        served += usize::from(answer.is_some_and(|(status, _)| status == 200));
+    }
+    served
+}
+
+/// The gateway answered the call with 404, which ended it, and the leader went on naming the VM.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_that_leaves_through_its_gateway_gets_no_further_request() {
+    let (site, vms, bearer) = site_with_two_desks(76).await;
+    vms[0].state.lock().unwrap().is_silent = true;
+    let answer = call(site.status, "DELETE", "/replicas/desk0", "", &[]).await;
+    assert_eq!(answer.map(|(status, _)| status), Some(200));
+    let before = vms[0].request_count();
+    assert_eq!(send_orders(&site, &bearer, 40).await, 40);
+    assert_eq!(
+        vms[0].request_count(),
+        before,
+        "a request after the acknowledgement"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_says_that_it_leaves_gets_no_further_request() {
+    let (site, vms, bearer) = site_with_two_desks(77).await;
+    vms[0].state.lock().unwrap().says_that_it_leaves = true;
+    let before = vms[0].request_count();
+    let started = Instant::now();
+    while vms[0].request_count() == before {
+        send_orders(&site, &bearer, 1).await;
+        assert!(
+            started.elapsed() < STATE_TIMEOUT,
+            "no answer says that its VM leaves"
+        );
+    }
+    assert_eq!(send_orders(&site, &bearer, 40).await, 40);
+    assert_eq!(vms[0].request_count(), before + 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_asks_for_a_pause_gets_no_request_until_its_end() {
+    let (site, vms, bearer) = site_with_two_desks(78).await;
+    vms[0].state.lock().unwrap().retry_after = Some("1.5");
+    let before = vms[0].request_count();
+    let started = Instant::now();
+    while vms[0].request_count() == before {
+        send_orders(&site, &bearer, 1).await;
+        assert!(started.elapsed() < STATE_TIMEOUT, "no request was turned away");
+    }
+    let paused_at = Instant::now();
+    while paused_at.elapsed() < Duration::from_millis(1_200) {
+        assert_eq!(send_orders(&site, &bearer, 1).await, 1);
+    }
+    assert_eq!(vms[0].request_count(), before + 1, "a request within the pause");
+    vms[0].state.lock().unwrap().retry_after = None;
+    let started = Instant::now();
+    while vms[0].request_count() == before + 1 {
+        send_orders(&site, &bearer, 1).await;
+        assert!(started.elapsed() < STATE_TIMEOUT, "no request after the pause");
+    }
+}
