fleet: requests of a gateway that turns to another controller count twice for half a second at most

Cause: relays kept a gateway's requests in progress for 1.5 s after its last report, and the leader a controller's. Around a change of leader all gateways of a zone turn away and, 5 s later, back; each time every gateway believed about 7 requests too many at each target and refused its callers.

--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -30,6 +30,9 @@
 const HEARTBEAT_VALIDITY: Duration = Duration::from_millis(1_000);
 /// Time for which a gateway's report on targets and demand counts.
 const REPORT_VALIDITY: Duration = Duration::from_millis(1_500);
+/// Time for which the requests in progress of a gateway's report count. A gateway that turns to another
+/// controller is counted by both for so long, and gateways would refuse callers for want of room.
+const RUNNING_VALIDITY: Duration = Duration::from_millis(500);
 /// Time without a report after which a gateway is forgotten and its share of the limits goes to the
 /// others.
 const GATEWAY_EXPIRY: Duration = Duration::from_secs(20);
@@ -411,7 +414,8 @@
 
     /// Drops what is too old to count.
     fn expire(&mut self, now: Duration) {
-        for gateway in self.gateways.values_mut().filter(|g| !is_fresh(g, now)) {
+        let is_outdated = |g: &&mut Gateway| now >= g.reported_at + RUNNING_VALIDITY;
+        for gateway in self.gateways.values_mut().filter(is_outdated) {
             subtract(&mut self.running, &gateway.report.running);
             gateway.report.running.clear();
         }
--- a/src/domain/fleet/reports.rs
+++ b/src/domain/fleet/reports.rs
@@ -17,6 +17,9 @@
 
 /// Time for which a controller's digest counts.
 const DIGEST_VALIDITY: Duration = Duration::from_millis(1_500);
+/// Time for which the requests in progress of a digest count. Gateways turn away from a controller that
+/// has stopped, and would be counted twice for so long.
+const RUNNING_VALIDITY: Duration = Duration::from_millis(400);
 /// Time without a digest after which a controller is forgotten, and the shares that its gateways have
 /// of limits go to the others.
 const PEER_EXPIRY: Duration = Duration::from_secs(20);
@@ -142,10 +145,11 @@
     /// Overview for the controller of a poll.
     fn overview(&self, now: Duration, poll: &Poll) -> Overview {
         let mut running: BTreeMap<String, u32> = BTreeMap::new();
-        let others = self
-            .fresh_digests(now)
-            .filter(|d| d.controller.address != poll.controller);
-        for (target, count) in others.flat_map(|d| &d.running) {
+        let is_counted = |p: &&Peer| {
+            now < p.received_at + RUNNING_VALIDITY && p.digest.controller.address != poll.controller
+        };
+        let others = self.peers.values().filter(is_counted);
+        for (target, count) in others.flat_map(|p| &p.digest.running) {
             match running.get_mut(target) {
                 Some(total) => *total += count,
                 None => drop(running.insert(target.clone(), *count)),
