--- a/src/domain/fleet/call.rs
+++ b/src/domain/fleet/call.rs
@@ -82,7 +82,7 @@
 }
 
 /// Call to a controller. Only the leader carries calls out, and other controllers redirect to it;
-/// any controller answers `Report`, `Announce` and `Catalog`.
+/// any controller answers `Report`, `Withdraw`, `Announce` and `Catalog`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Call {
     /// A controller asks to join the replicated log.
@@ -111,6 +111,11 @@
     },
     /// Report of a gateway, for a controller's relay.
     Report(Box<Report>),
+    /// A gateway now reports to another controller than this one.
+    Withdraw {
+        /// Identity of the gateway process.
+        gateway: String,
+    },
     /// A controller passes on what it has heard from gateways and VMs.
     Digest(Box<Digest>),
     /// A gateway fetches the catalog; any controller answers.
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -258,8 +258,8 @@
                 self.answer_when_applied(ticket, out);
             }
             Call::Digest(digest) => self.receive_digest(now, ticket, *digest),
-            // The relay answers reports.
-            Call::Report(_) => out.push(self.redirect(ticket)),
+            // The relay answers these.
+            Call::Report(_) | Call::Withdraw { .. } => out.push(self.redirect(ticket)),
         }
     }
 
--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -46,6 +46,8 @@
 pub enum Input {
     /// Report of a gateway.
     Report(Ticket, Box<Report>),
+    /// The gateway with this identity now reports to another controller.
+    Withdrawal(String),
     /// Heartbeat of a VM.
     Heartbeat(Ticket, Box<Announcement>),
     /// A VM has shut down, or is shutting down, and tells the leader through this controller.
@@ -144,6 +146,11 @@
                     out.push((ticket, Answer::Redirect(None)));
                 }
             }
+            Input::Withdrawal(gateway) => {
+                if let Some(gateway) = self.gateways.remove(&gateway) {
+                    subtract(&mut self.running, &gateway.report.running);
+                }
+            }
             Input::Departure(id) => drop(self.vms.remove(&id)),
             Input::Overview(asked_at, overview) => self.receive_overview(now, asked_at, *overview),
             Input::DigestLost => self.in_flight.clear(),
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -53,6 +53,10 @@
             Call::Announce(announcement) => {
                 heartbeat::announce(&self.relay, &self.leader, announcement).await
             }
+            Call::Withdraw { gateway } => {
+                self.relay.withdraw(gateway);
+                true
+            }
             Call::Leave { id } => heartbeat::leave(&self.relay, &self.leader, id).await,
             call => return self.mailbox.ask(|ticket| Event::Call { ticket, call }).await,
         };
--- a/src/fleet/relay.rs
+++ b/src/fleet/relay.rs
@@ -59,6 +59,11 @@
         matches!(answer.await, Ok(Answer::Done))
     }
 
+    /// Forgets a gateway that now reports to another controller.
+    pub(super) fn withdraw(&self, gateway: String) {
+        self.step(Input::Withdrawal(gateway));
+    }
+
     /// Forgets a VM that shuts down and has told the leader.
     pub(super) fn forget(&self, id: &str) {
         self.step(Input::Departure(id.to_owned()));
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -4,6 +4,7 @@
 //! gateway sends the next one right after the answer.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -70,6 +71,7 @@
     let mut state = State::default();
     loop {
         let sent_at = clock::now();
+        let previous = context.controllers.relay();
         let report = build_report(&context, &identity, &heartbeat_address, &state);
         let sent = Sent {
             at: sent_at,
@@ -80,6 +82,9 @@
         if let Some(Answer::Overview(overview)) = context.controllers.call_relay(&call, REPORT_TIMEOUT).await
         {
             context.metrics.reports.with_label_values(&["answered"]).inc();
+            if let Some(previous) = previous.filter(|p| context.controllers.relay() != Some(*p)) {
+                withdraw(&context, &identity, previous);
+            }
             if let Some(compressed) = &overview.catalog {
                 apply_catalog(&context, &mut state, compressed);
             } else if overview.version > state.version {
@@ -108,6 +113,21 @@
     }
 }
 
+/// Tells a controller that it is not reported to any more, so that it counts no requests of this gateway.
+fn withdraw(context: &Arc<Context>, identity: &str, controller: SocketAddr) {
+    let context = context.clone();
+    let call = Call::Withdraw {
+        gateway: identity.to_owned(),
+    };
+    tokio::spawn(async move {
+        // Without an answer the controller forgets the requests by itself a little later.
+        let _ = context
+            .controllers
+            .call_at(controller, &call, REPORT_TIMEOUT)
+            .await;
+    });
+}
+
 fn build_report(context: &Context, identity: &str, heartbeat_address: &str, state: &State) -> Report {
     let now = clock::now();
     let is_draining = context.is_draining();
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -274,6 +274,20 @@
     answers.collect()
 }
 
+#[test]
+fn a_gateway_that_withdraws_counts_no_more() {
+    let mut relay = relay("a");
+    relay.step(ms(0), Input::Overview(ms(0), overview(1, 1)));
+    relay.step(ms(10), Input::Report(1, report("g1", (1, 1), 2)));
+    relay.step(ms(10), Input::Report(2, report("g2", (1, 1), 3)));
+    relay.step(ms(20), Input::Withdrawal("g1".to_owned()));
+    let digest = relay.digest(ms(30));
+    assert_eq!((digest.running["t"], digest.gateways), (3, vec!["g2".to_owned()]));
+    // A report that arrives late counts for half a second.
+    relay.step(ms(40), Input::Withdrawal("g1".to_owned()));
+    assert_eq!(relay.digest(ms(50)).running["t"], 3);
+}
+
 /// A gateway that turns from one controller to another is one gateway, and its requests count once after
 /// half a second. They counted twice for 1.5 s, and all gateways refused callers for want of room.
 #[test]
