--- a/src/domain/fleet/order.rs
+++ b/src/domain/fleet/order.rs
@@ -23,6 +23,19 @@
     Leave,
 }
 
+impl Task {
+    /// Name of the operation, for log lines.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Task::Join { .. } => "join",
+            Task::Stage { .. } => "stage",
+            Task::Open => "open",
+            Task::Close => "close",
+            Task::Leave => "leave",
+        }
+    }
+}
+
 /// Order to one VM; the leader resends it until a heartbeat of the VM shows the effect.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -14,6 +14,7 @@
 
 use super::messenger::Messenger;
 use super::metrics::Metrics;
+use super::orders::Orders;
 use crate::adapters::clock;
 use crate::adapters::disk;
 use crate::adapters::disk::Filesystem;
@@ -53,6 +54,7 @@
 pub(super) struct Executor {
     pub(super) folder: Folder<Filesystem>,
     pub(super) messenger: Messenger,
+    pub(super) orders: Orders,
     pub(super) mailbox: Mailbox,
     pub(super) metrics: Metrics,
     pub(super) status: Arc<Mutex<Status>>,
@@ -87,7 +89,7 @@
             match action {
                 Action::Consensus(action) => self.persist_or_send(core, action),
                 Action::Answer(ticket, answer) => self.mailbox.answer(ticket, answer),
-                Action::Order(order) => self.messenger.send_order(order),
+                Action::Order(order) => self.orders.send(order),
                 Action::Leadership(leads) => {
                     let (id, term) = (core.node().id(), core.node().term());
                     logging::FLEET_LEADERSHIP.log_fields(&[
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod leader;
 mod messenger;
 mod metrics;
+mod orders;
 mod peer;
 mod relay;
 mod run;
--- /dev/null
+++ b/src/fleet/orders.rs
@@ -0,0 +1,144 @@
+//! Orders to VMs: at most one to each VM at a time, and a bounded number to all.
+//!
+//! After a loss, or when thousands of VMs appear, the leader has many orders at once, and repeats those
+//! without an effect. Without a bound they would take the processor from the leader's lease.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http_body_util::Full;
+use tokio::time::timeout;
+
+use crate::adapters::clock;
+use crate::adapters::http1;
+use crate::domain::fleet::Order;
+use crate::logging;
+use crate::platform::header;
+use crate::platform::order;
+
+/// Timeout of an order. The leader resends an order until a heartbeat shows its effect.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Orders under way; many of them may wait for VMs that are out of reach.
+const MAX_UNDER_WAY: usize = 128;
+
+/// Orders that wait and that are under way.
+#[derive(Default)]
+struct Queue {
+    /// VMs with an order that waits for its turn, oldest first.
+    turns: VecDeque<String>,
+    /// Latest order of each VM that waits.
+    waiting: HashMap<String, Order>,
+    /// VMs with an order under way.
+    under_way: HashSet<String>,
+}
+
+impl Queue {
+    /// Adds an order; a later order to the same VM replaces one that waits.
+    fn push(&mut self, order: Order) {
+        let vm = order.vm.clone();
+        if self.waiting.insert(vm.clone(), order).is_none() {
+            self.turns.push_back(vm);
+        }
+    }
+
+    /// Next order to send, if one may be sent now.
+    fn pop(&mut self) -> Option<Order> {
+        if self.under_way.len() >= MAX_UNDER_WAY {
+            return None;
+        }
+        let position = self.turns.iter().position(|vm| !self.under_way.contains(vm))?;
+        let vm = self.turns.remove(position)?;
+        let order = self.waiting.remove(&vm)?;
+        self.under_way.insert(vm);
+        Some(order)
+    }
+}
+
+/// Sender of orders; clones share the queue.
+#[derive(Clone)]
+pub(super) struct Orders {
+    client: http1::Client,
+    queue: Arc<Mutex<Queue>>,
+    runtime: tokio::runtime::Handle,
+}
+
+impl Orders {
+    /// Sender on the current runtime.
+    pub(super) fn new() -> Self {
+        Orders {
+            client: http1::Client::default(),
+            queue: Arc::default(),
+            runtime: tokio::runtime::Handle::current(),
+        }
+    }
+
+    /// Sends an order, as soon as there is room, and logs the outcome.
+    pub(super) fn send(&self, order: Order) {
+        let mut queue = self.queue.lock().expect("no panic under this lock");
+        queue.push(order);
+        let next = queue.pop();
+        drop(queue);
+        if let Some(order) = next {
+            self.runtime.spawn(self.clone().run(order));
+        }
+    }
+
+    /// Sends one order, and then those that have waited for it.
+    async fn run(self, first: Order) {
+        let mut next = Some(first);
+        while let Some(order) = next {
+            self.deliver(&order).await;
+            let mut queue = self.queue.lock().expect("no panic under this lock");
+            queue.under_way.remove(&order.vm);
+            next = queue.pop();
+        }
+    }
+
+    /// Posts an order and logs the outcome.
+    async fn deliver(&self, order: &Order) {
+        let started = clock::now();
+        let result = timeout(ORDER_TIMEOUT, post(&self.client, order)).await;
+        let result = result.unwrap_or_else(|_| Err("timed out without an answer".to_owned()));
+        let took_ms = (clock::now() - started).as_millis() as u64;
+        let outcome = match &result {
+            Ok(status) => status.to_string(),
+            Err(reason) => reason.clone(),
+        };
+        let event = match result {
+            Ok(status) if status < 300 => logging::VM_ORDERED,
+            _ => logging::VM_ORDER_FAILED,
+        };
+        event.log_fields(&[
+            ("vm", order.vm.as_str().into()),
+            ("group", order.epoch.into()),
+            ("fence", order.fence.into()),
+            ("task", order.task.name().into()),
+            ("outcome", outcome.as_str().into()),
+            ("took_ms", took_ms.into()),
+        ]);
+    }
+}
+
+/// Posts an order and returns the HTTP status.
+async fn post(client: &http1::Client, vm_order: &Order) -> Result<u16, String> {
+    let address = vm_order.address.parse().map_err(|e| format!("VM address: {e}"))?;
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(order::PATH)
+        .header(http::header::HOST, &vm_order.address)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .header(header::TARGET, &vm_order.vm)
+        .body(Full::new(Bytes::from(order::encode(vm_order))))
+        .map_err(|e| e.to_string())?;
+    // `true` asks for a new connection.
+    let sent = client.send(address, request, true).await;
+    let (response, _connection) = sent.map_err(|f| format!("{f:?}"))?;
+    Ok(response.status().as_u16())
+}
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -19,6 +19,7 @@
 use super::leader::Leader;
 use super::messenger::Messenger;
 use super::metrics::Metrics;
+use super::orders::Orders;
 use super::peer;
 use super::relay::Relay;
 use super::web;
@@ -72,6 +73,7 @@
     let executor = Executor {
         folder,
         messenger: Messenger::new(pool),
+        orders: Orders::new(),
         mailbox: mailbox.clone(),
         metrics: metrics.clone(),
         status: status.clone(),
