--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod announcement;
 mod call;
 mod core;
+mod digests;
 mod event;
 mod heartbeats;
 mod lifecycle;
@@ -29,7 +30,7 @@
 mod reconciliation;
 mod registry;
 mod relay;
-mod reports;
+
 mod routing;
 mod state;
 mod target_log;
