--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -30,7 +30,6 @@
 mod reconciliation;
 mod registry;
 mod relay;
-
 mod routing;
 mod state;
 mod target_log;
