--- a/src/adapters/http1/mod.rs
+++ b/src/adapters/http1/mod.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod client;
+mod framing;
 mod server;
 
 pub use body::Abort;
@@ -13,5 +14,6 @@
 pub use client::Client;
 pub use client::Connection;
 pub use client::Failure;
+pub use framing::Framing;
 pub use server::Server;
 pub use server::serve;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -24,6 +24,7 @@
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Connection;
 use crate::adapters::http1::Failure;
+use crate::adapters::http1::Framing;
 use crate::domain::catalog::Repeat;
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Target;
@@ -55,6 +56,7 @@
     connection: Connection,
     send: Send,
 ) -> Response<Body> {
+    let framing = Framing::of(&response);
     let (head, body) = response.into_parts();
     let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let mut answer = Response::from_parts(head, Body::Stream(receiver));
@@ -70,6 +72,8 @@
         last_event_id: None,
         events: 0,
         is_streaming: false,
+        framing,
+        partial_bytes: 0,
         first_ms: 0,
     };
     tokio::spawn(relay.run(body, connection, send));
@@ -99,6 +103,10 @@
     events: u64,
     /// Whether the current run has delivered an event.
     is_streaming: bool,
+    /// Framing of the current run's answer.
+    framing: Framing,
+    /// Bytes after the last complete event with which the current run has ended.
+    partial_bytes: usize,
     /// Time from the request to its first event, in milliseconds.
     first_ms: u64,
 }
@@ -112,6 +120,7 @@
             let context = send.context.clone();
             let target = send.target.id.clone();
             self.is_streaming = false;
+            self.partial_bytes = 0;
             let end = self.relay_events(body, &send).await;
             if self.is_streaming {
                 context.balancer().end_stream(&target);
@@ -205,6 +214,7 @@
     /// Passes on the bytes after the last complete event of a run that ended without a fault.
     async fn send_remainder(&mut self, splitter: Splitter) -> End {
         let remainder = splitter.remainder();
+        self.partial_bytes = remainder.len();
         if !remainder.is_empty()
             && self
                 .sender
@@ -275,6 +285,7 @@
                 Classification::NotRun(outcome) => send.end(outcome),
                 Classification::Own if response.status().is_success() => {
                     self.runs += 1;
+                    self.framing = Framing::of(&response);
                     return Some((response.into_body(), connection, send));
                 }
                 Classification::Own | Classification::Foreign => {
@@ -338,6 +349,8 @@
             ("end", end.into()),
             ("events", self.events.into()),
             ("runs", self.runs.into()),
+            ("framing", self.framing.name().into()),
+            ("partial_bytes", (self.partial_bytes as u64).into()),
             ("first_ms", self.first_ms.into()),
             ("after_ms", elapsed_ms(&self.request).into()),
         ]);
