--- /dev/null
+++ b/tests/framing.rs
@@ -0,0 +1,158 @@
+//! Answers of upstreams that are framed by their connection, or are broken off.
+
+mod site;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use serde_json::Value;
+use serde_json::json;
+
+use site::ACCOUNT_KEY;
+use site::STATE_TIMEOUT;
+use site::Site;
+use site::Vm;
+use site::document;
+use site::events;
+use site::raw::Step;
+use site::raw::Upstream;
+use site::raw::header;
+
+/// Configuration with routes of each kind to the plain service.
+fn document_with_plain_routes() -> String {
+    let mut document: Value = serde_json::from_str(&document(3)).unwrap();
+    let routes = document["routes"].as_array_mut().unwrap();
+    let route = |name: &str, kind: &str| {
+        json!({"name": name, "host": "a.example", "path-prefix": format!("/{name}/"), "type": kind,
+               "timeout-ms": 4000, "target-latency-ms": 500, "target-gap-ms": 300, "max-attempts": 2,
+               "service": "desk"})
+    };
+    let mut resumable = route("resumable", "streaming");
+    resumable["stream-resume"] = json!(true);
+    routes.extend([
+        resumable,
+        route("stream", "streaming"),
+        route("lookup", "idempotent"),
+    ]);
+    document.to_string()
+}
+
+/// Site with two raw upstreams of the plain service that both follow `script`.
+async fn site_with_raw_upstreams(
+    number: u8,
+    script: impl Fn(&str) -> Vec<Step> + Clone + Send + Sync + 'static,
+) -> (Site, Vec<Upstream>) {
+    let site = Site::start(number);
+    let mut upstreams = Vec::new();
+    for i in 0..2 {
+        let script = script.clone();
+        let with_probe = move |head: &str| match head.contains(" /orders/") {
+            true => vec![Step::Send(format!(
+                "{}content-length: 0\r\n\r\n",
+                answer_head(head)
+            ))],
+            false => script(head),
+        };
+        let upstream = Upstream::start(with_probe).await;
+        let (id, address) = (format!("desk{i}"), upstream.address);
+        Vm::announce(&id, "desk", address, Default::default(), site.controllers.clone());
+        upstreams.push(upstream);
+    }
+    site.call_controllers("PUT", "/configuration", &document_with_plain_routes())
+        .await
+        .unwrap();
+    let started = Instant::now();
+    while upstreams.iter().any(|u| u.request_count() == 0) {
+        assert!(
+            started.elapsed() < STATE_TIMEOUT,
+            "an upstream got no request in time"
+        );
+        let bearer = format!("Bearer {ACCOUNT_KEY}");
+        // Two at a time, so that they go to different upstreams.
+        let headers = [("authorization", bearer.as_str())];
+        tokio::join!(
+            site.send_request("/orders/0", &headers),
+            site.send_request("/orders/1", &headers)
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    upstreams.iter().for_each(|u| u.heads.lock().unwrap().clear());
+    (site, upstreams)
+}
+
+async fn send(site: &Site, path: &str) -> Option<(u16, Bytes)> {
+    let bearer = format!("Bearer {ACCOUNT_KEY}");
+    site.send_request(path, &[("authorization", &bearer)]).await
+}
+
+/// Head of a signed answer to the request with this head, without framing and without its last line.
+fn answer_head(request: &str) -> String {
+    let id = header(request, "x-attempt-id").unwrap_or_default();
+    format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-signature: s\r\n")
+}
+
+/// Events `first` to `last` of a stream.
+fn event_text(first: u64, last: u64) -> String {
+    (first..=last)
+        .map(|i| format!("id: {i}\ndata: piece {i}\n\n"))
+        .collect()
+}
+
+/// Ends its first run without framing inside event 5, and completes a resumed run.
+fn cut_inside_event(head: &str) -> Vec<Step> {
+    let text = match header(head, "last-event-id") {
+        None => format!("{}id: 5\nda", event_text(1, 4)),
+        Some(last) => event_text(last.parse::<u64>().unwrap() + 1, 10),
+    };
+    vec![
+        Step::Send(format!("{}\r\n", answer_head(head))),
+        Step::Send(text),
+        Step::Close,
+    ]
+}
+
+fn resumed_after(upstreams: &[Upstream]) -> Vec<String> {
+    let heads = upstreams.iter().flat_map(|u| u.heads.lock().unwrap().clone());
+    heads
+        .filter_map(|h| header(&h, "last-event-id").map(str::to_owned))
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unframed_stream_cut_inside_an_event_is_resumed() {
+    let (site, upstreams) = site_with_raw_upstreams(81, cut_inside_event).await;
+    let (status, body) = send(&site, "/resumable/1").await.expect("a complete answer");
+    assert_eq!((status, events(&body)), (200, (1..=10).collect::<Vec<u64>>()));
+    assert_eq!(resumed_after(&upstreams), ["4"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unframed_stream_cut_inside_an_event_does_not_look_complete() {
+    let (site, upstreams) = site_with_raw_upstreams(82, cut_inside_event).await;
+    let answer = send(&site, "/stream/1").await;
+    assert!(answer.is_none(), "the answer looks complete: {answer:?}");
+    assert_eq!(
+        resumed_after(&upstreams),
+        [""; 0],
+        "this route does not allow a resume"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unframed_stream_that_ends_after_an_event_is_complete() {
+    let whole = |head: &str| {
+        vec![
+            Step::Send(format!("{}\r\n{}", answer_head(head), event_text(1, 10))),
+            Step::Close,
+        ]
+    };
+    let (site, upstreams) = site_with_raw_upstreams(83, whole).await;
+    let (status, body) = send(&site, "/resumable/1").await.expect("a complete answer");
+    assert_eq!((status, events(&body)), (200, (1..=10).collect::<Vec<u64>>()));
+    assert_eq!(
+        resumed_after(&upstreams),
+        [""; 0],
+        "a complete stream was resumed"
+    );
+}
