gateway: a stream that ends inside an event was broken off

Cause: the relay took every end of an upstream's body that came without an error for the end of the stream and passed on what followed the last complete event. That holds only where the body says where it ends. An answer with neither a length nor chunks ends with its connection, so one that was broken off ends without an error, too; the gateway then ended its own answer with a last chunk, which turned a broken stream into a complete one.

Evidence: the affected runs are logged as complete 0 to 2 ms after their upstream broke off; other streams of the same minute, with chunks, are recognised as broken.

Now the events decide: a body that ends inside an event is a broken run, however it was framed. It is resumed after its last complete event where the route allows that, else the caller's answer is aborted; the part of an event is never passed on. Blank lines after the last event still are.

Left: a cut exactly between two events of such an answer cannot be told from its end.

--- a/src/domain/gateway/events.rs
+++ b/src/domain/gateway/events.rs
@@ -36,6 +36,12 @@
     pub fn remainder(&self) -> &[u8] {
         &self.buffer
     }
+
+    /// Whether a stream that ends here is broken off: blank lines between events may follow the last one,
+    /// and nothing else.
+    pub fn is_inside_event(&self) -> bool {
+        self.buffer.iter().any(|b| !matches!(b, b'\r' | b'\n'))
+    }
 }
 
 /// Offset just after the first blank line, which ends an event; searches from offset `from`.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -171,7 +171,7 @@
             let bytes = match frame {
                 Err(_) if max_pause == time_left => return End::Deadline,
                 Err(_) => return End::Broken(Outcome::Stalled),
-                Ok(None) => return self.send_remainder(splitter).await,
+                Ok(None) => return self.end_run(splitter).await,
                 Ok(Some(Err(_))) => return End::Broken(Outcome::Failed),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
@@ -211,10 +211,15 @@
         }
     }
 
-    /// Passes on the bytes after the last complete event of a run that ended without a fault.
-    async fn send_remainder(&mut self, splitter: Splitter) -> End {
+    /// Ends a run whose body has ended without an error.
+    ///
+    /// The end of a connection also ends a body without framing, so only the events show whether it is whole.
+    async fn end_run(&mut self, splitter: Splitter) -> End {
         let remainder = splitter.remainder();
         self.partial_bytes = remainder.len();
+        if splitter.is_inside_event() {
+            return End::Broken(Outcome::Failed);
+        }
         if !remainder.is_empty()
             && self
                 .sender
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -301,6 +301,26 @@
         prop_assert_eq!(bytes, text.as_bytes());
         prop_assert!(splitter.remainder().is_empty());
     }
+
+    /// A stream that ends anywhere but after an event was cut inside one, whatever ends its lines.
+    #[test]
+    fn a_stream_cut_anywhere_but_after_an_event_is_inside_one(cut in 0usize..400, line_end in proptest::sample::select(vec!["\n", "\r\n"])) {
+        let event = |i: usize| format!("id: {i}{line_end}data: {}{line_end}{line_end}", "x".repeat(i % 7));
+        let mut ends = vec![0];
+        let mut text = String::new();
+        for i in 1..20 {
+            text.push_str(&event(i));
+            ends.push(text.len());
+        }
+        let cut = cut.min(text.len());
+        let mut splitter = Splitter::default();
+        splitter.push(&text.as_bytes()[..cut]);
+        prop_assert_eq!(splitter.is_inside_event(), !ends.contains(&cut));
+        // Blank lines after an event belong to no event.
+        let mut splitter = Splitter::default();
+        splitter.push(format!("{}{line_end}", event(1)).as_bytes());
+        prop_assert!(!splitter.is_inside_event());
+    }
 }
 
 fn retry_window() -> Duration {
