gateway: a stream without framing and without any event was broken off

An upstream that breaks off right after the head left an empty stream, which callers got as a complete answer with status 200 (the new test failed with 0 of 10 events). A run without framing that ends before the first event of the answer is now a broken one and is sent again or aborted. A resumed run may be empty: the one before may have been broken off after its last event.

Two further tests passed at once: a framed stream that ends inside an event, and whole answers without framing, which are complete at their end and unknown after a reset.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -217,7 +217,8 @@
     async fn end_run(&mut self, splitter: Splitter) -> End {
         let remainder = splitter.remainder();
         self.partial_bytes = remainder.len();
-        if splitter.is_inside_event() {
+        let is_empty = self.events == 0 && self.framing == Framing::Connection;
+        if is_empty || splitter.is_inside_event() {
             return End::Broken(Outcome::Failed);
         }
         if !remainder.is_empty()
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -2,6 +2,8 @@
 
 mod site;
 
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -156,3 +158,58 @@
         "a complete stream was resumed"
     );
 }
+
+/// An upstream that crashes may send the head of an answer without framing and nothing after it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unframed_stream_without_any_event_is_sent_again() {
+    let script = |head: &str| {
+        // The second attempt arrives later, so that the first one has ended.
+        static REQUESTS: AtomicUsize = AtomicUsize::new(0);
+        let text = match REQUESTS.fetch_add(1, Ordering::Relaxed) {
+            0 => String::new(),
+            _ => event_text(1, 10),
+        };
+        vec![
+            Step::Send(format!("{}\r\n{text}", answer_head(head))),
+            Step::Close,
+        ]
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(84, script).await;
+    let (status, body) = send(&site, "/resumable/1").await.expect("a complete answer");
+    assert_eq!((status, events(&body)), (200, (1..=10).collect::<Vec<u64>>()));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_framed_stream_that_ends_inside_an_event_does_not_look_complete() {
+    let script = |head: &str| {
+        let text = format!("{}id: 5\nda", event_text(1, 4));
+        let length = text.len();
+        let head = answer_head(head);
+        vec![Step::Send(format!(
+            "{head}content-length: {length}\r\n\r\n{text}"
+        ))]
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(85, script).await;
+    let answer = send(&site, "/stream/1").await;
+    assert!(answer.is_none(), "the answer looks complete: {answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unframed_answer_is_complete_at_its_end_and_broken_off_by_a_reset() {
+    let script = |head: &str| {
+        let start = Step::Send(format!("{}\r\npart of the answer", answer_head(head)));
+        let pause = Step::Pause(Duration::from_millis(50));
+        match head.contains(" /lookup/whole") {
+            true => vec![start, pause, Step::Send(", and its end".to_owned()), Step::Close],
+            false => vec![start, pause, Step::Reset],
+        }
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(86, script).await;
+    let (status, body) = send(&site, "/lookup/whole").await.expect("an answer");
+    assert_eq!(
+        (status, body.as_ref()),
+        (200, &b"part of the answer, and its end"[..])
+    );
+    let (status, _) = send(&site, "/lookup/reset").await.expect("an answer");
+    assert_eq!(status, 502);
+}
