http1: answers carry HTTP/1.1 whatever version their upstream speaks

Callers of a stream whose upstream answers by HTTP/1.0 got an answer that ends with its connection, so one that the gateway aborted looked complete: status 200 and 4 of 10 events in the new test.

Cause: the head of the upstream's answer was passed on with its version, and the server frames an answer of HTTP/1.0 by the end of the connection, not by chunks. The server now sets the version of each answer itself. The test failed before.

--- a/src/adapters/http1/server.rs
+++ b/src/adapters/http1/server.rs
@@ -12,6 +12,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::Version;
 use http::header::CONNECTION;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -95,6 +96,9 @@
                     let closing = closing.clone();
                     async move {
                         let mut response = response.await;
+                        // An upstream's answer may carry an older version, which rules chunks out; `hyper`
+                        // lowers the version again for a caller that needs it.
+                        *response.version_mut() = Version::HTTP_11;
                         if closing.load(Ordering::Relaxed) {
                             let close = HeaderValue::from_static("close");
                             response.headers_mut().insert(CONNECTION, close);
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -213,3 +213,17 @@
     let (status, _) = send(&site, "/lookup/reset").await.expect("an answer");
     assert_eq!(status, 502);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_cut_by_an_upstream_of_http_1_0_does_not_look_complete() {
+    let script = |head: &str| {
+        let head = answer_head(head).replace("HTTP/1.1", "HTTP/1.0");
+        vec![
+            Step::Send(format!("{head}\r\n{}id: 5\nda", event_text(1, 4))),
+            Step::Close,
+        ]
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(87, script).await;
+    let answer = send(&site, "/stream/1").await;
+    assert!(answer.is_none(), "the answer looks complete: {answer:?}");
+}
