http1: an aborted answer to a caller of HTTP/1.0 ends with a reset

Callers of HTTP/1.0 got a stream that was broken off as a complete one: an answer without a length ends with its connection there, and the server closed it as after a complete answer.

Such a connection is now reset when its answer was aborted. Others are closed as before, since a reset would discard events that the caller has not read yet, and a missing last chunk says enough.

--- a/src/adapters/http1/server.rs
+++ b/src/adapters/http1/server.rs
@@ -70,7 +70,7 @@
     handler: H,
 ) -> std::io::Result<Server>
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Unpin + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
@@ -90,29 +90,7 @@
             let (server, handler) = (server_handle.clone(), handler.clone());
             tokio::spawn(async move {
                 server.open_connections.fetch_add(1, Ordering::Relaxed);
-                let closing = server.closing.clone();
-                let service = service_fn(move |request| {
-                    let response = handler(request);
-                    let closing = closing.clone();
-                    async move {
-                        let mut response = response.await;
-                        // An upstream's answer may carry an older version, which rules chunks out; `hyper`
-                        // lowers the version again for a caller that needs it.
-                        *response.version_mut() = Version::HTTP_11;
-                        if closing.load(Ordering::Relaxed) {
-                            let close = HeaderValue::from_static("close");
-                            response.headers_mut().insert(CONNECTION, close);
-                        }
-                        Ok::<_, Infallible>(response)
-                    }
-                });
-                let mut builder = http1::Builder::new();
-                builder
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(head_timeout)
-                    .max_buf_size(head_bytes.max(MIN_HEAD_BYTES));
-                // An error ends only this connection; usually the caller has disconnected.
-                let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+                serve_connection(stream, &server, head_bytes, head_timeout, handler).await;
                 server.open_connections.fetch_sub(1, Ordering::Relaxed);
             });
         }
@@ -120,6 +98,51 @@
     Ok(server)
 }
 
+/// Serves one connection until either side closes it.
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    server: &Server,
+    head_bytes: usize,
+    head_timeout: Duration,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Unpin,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    // Whether the caller speaks HTTP/1.0, whose answers may end with their connection.
+    let is_old_caller = Arc::new(AtomicBool::new(false));
+    let (is_old, closing) = (is_old_caller.clone(), server.closing.clone());
+    let service = service_fn(move |request| {
+        is_old.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
+        let response = handler(request);
+        let closing = closing.clone();
+        async move {
+            let mut response = response.await;
+            // An upstream's answer may carry an older version, which rules chunks out; `hyper`
+            // lowers the version again for a caller that needs it.
+            *response.version_mut() = Version::HTTP_11;
+            if closing.load(Ordering::Relaxed) {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_timeout)
+        .max_buf_size(head_bytes.max(MIN_HEAD_BYTES));
+    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
+    // An error ends only this connection; usually the caller has disconnected.
+    let ended = (&mut connection).await;
+    let stream = connection.into_parts().io.into_inner();
+    if ended.is_err() && is_old_caller.load(Ordering::Relaxed) {
+        // Only a reset shows this caller that its answer was aborted. It fails if the connection is gone.
+        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
 /// Sets the TCP options of a connection; those that the platform lacks are left out.
 pub(super) fn set_tcp_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -10,6 +10,9 @@
 use bytes::Bytes;
 use serde_json::Value;
 use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use site::ACCOUNT_KEY;
 use site::STATE_TIMEOUT;
@@ -227,3 +230,44 @@
     let answer = send(&site, "/stream/1").await;
     assert!(answer.is_none(), "the answer looks complete: {answer:?}");
 }
+
+/// An answer to a caller of HTTP/1.0 ends with its connection, so only a reset shows that it was cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cut_stream_does_not_look_complete_to_a_caller_of_http_1_0() {
+    let script = |head: &str| {
+        let end = match head.contains(" /stream/whole") {
+            true => String::new(),
+            false => "id: 11\nda".to_owned(),
+        };
+        vec![
+            Step::Send(format!("{}\r\n{}", answer_head(head), event_text(1, 10))),
+            Step::Pause(Duration::from_millis(50)),
+            Step::Send(end),
+            Step::Close,
+        ]
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(88, script).await;
+    let whole = send_http_1_0(&site, "/stream/whole")
+        .await
+        .expect("a complete answer");
+    assert_eq!(events(&Bytes::from(whole)).len(), 10);
+    let cut = send_http_1_0(&site, "/stream/cut").await;
+    assert_eq!(
+        cut.map_err(|e| e.kind()),
+        Err(std::io::ErrorKind::ConnectionReset)
+    );
+}
+
+/// Sends a request of HTTP/1.0 and reads until its connection ends; returns the body.
+async fn send_http_1_0(site: &Site, path: &str) -> std::io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect(site.gateway).await?;
+    let request = format!(
+        "POST {path} HTTP/1.0\r\nhost: a.example\r\nauthorization: Bearer {ACCOUNT_KEY}\r\n\
+         x-attempt-id: a1\r\nx-deadline-ms: 4000\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await?;
+    let body = answer.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
+    Ok(answer.split_off(body))
+}
