gateway: an answer of more than 8 MiB is broken off

An upstream in trouble may send bytes without end. The gateway collected every answer that is no stream until the request's deadline, however long it grew: seconds of such bytes exceed the memory of an entry VM (260 MB), and a process that is killed takes all its callers' requests with it.

Answers are now collected up to dispatch.max_answer_bytes, copied together, as a body of many small chunks takes a multiple of its size as a list. A larger one counts as a failed send whose outcome is unknown, and its connection is closed.

--- a/src/adapters/http1/mod.rs
+++ b/src/adapters/http1/mod.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod client;
+mod collect;
 mod framing;
 mod server;
 
@@ -14,6 +15,8 @@
 pub use client::Client;
 pub use client::Connection;
 pub use client::Failure;
+pub use collect::Incomplete;
+pub use collect::collect;
 pub use framing::Framing;
 pub use server::Server;
 pub use server::serve;
--- a/src/domain/gateway/settings.rs
+++ b/src/domain/gateway/settings.rs
@@ -34,6 +34,8 @@
     pub engine_fill: f64,
     /// Fraction of the latency objective for which a request may wait for room.
     pub wait_part: f64,
+    /// Largest answer that is collected whole, in bytes; one that goes on is broken off.
+    pub max_answer_bytes: usize,
 }
 
 impl Default for Settings {
@@ -53,6 +55,8 @@
             engine_fill: 1.0,
             // A caller that is refused early has time to retry before its deadline.
             wait_part: 0.12,
+            // Bounds the memory that requests to a faulty upstream take together.
+            max_answer_bytes: 8 << 20,
         }
     }
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -7,7 +7,6 @@
 
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -24,6 +23,8 @@
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Connection;
 use crate::adapters::http1::Failure;
+use crate::adapters::http1::Incomplete;
+use crate::adapters::http1::collect;
 use crate::domain::catalog::Repeat;
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Target;
@@ -303,12 +304,16 @@
     ) -> Delivery {
         let (head, body) = response.into_parts();
         let time_left = self.request.deadline.saturating_sub(clock::now());
-        let body = match timeout(time_left, body.collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => {
+        let body = match timeout(time_left, collect(body, self.context.settings.max_answer_bytes)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(Incomplete::Truncated)) => {
                 self.end_failed(send, Outcome::Failed, "answer body truncated");
                 return Delivery::Unknown(None);
             }
+            Ok(Err(Incomplete::TooLarge)) => {
+                self.end_failed(send, Outcome::Failed, "answer body too large");
+                return Delivery::Unknown(None);
+            }
             Err(_) => {
                 self.end_failed(send, Outcome::Stalled, "answer body timed out");
                 return Delivery::Unknown(None);
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -76,6 +76,9 @@
         if !(0.0..=1.0).contains(&self.dispatch.retry_use) {
             return invalid("dispatch.retry_use: must be between 0 and 1");
         }
+        if self.dispatch.max_answer_bytes == 0 {
+            return invalid("dispatch.max_answer_bytes: must be at least 1");
+        }
         Ok(())
     }
 
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -271,3 +271,56 @@
     let body = answer.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
     Ok(answer.split_off(body))
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_body_without_end_is_given_up() {
+    assert_bounded(
+        89,
+        "/lookup/1",
+        without_end("{signed}\r\n", &TEXT_WITHOUT_EVENT.repeat(64)),
+    )
+    .await;
+}
+
+/// Script that sends bytes until the gateway closes the connection.
+fn without_end(start: &'static str, text: &str) -> impl Fn(&str) -> Vec<Step> + Clone + use<> {
+    let text = text.to_owned();
+    move |head| {
+        let start = start.replace("{signed}", &answer_head(head));
+        vec![
+            Step::Send(start),
+            Step::SendWithoutEnd(text.clone(), Duration::ZERO),
+        ]
+    }
+}
+
+/// Sends one request to upstreams that send without end; it must fail before its deadline, with a
+/// bounded number of bytes read.
+async fn assert_bounded(
+    number: u8,
+    path: &str,
+    script: impl Fn(&str) -> Vec<Step> + Clone + Send + Sync + 'static,
+) {
+    let (site, upstreams) = site_with_raw_upstreams(number, script).await;
+    let started = Instant::now();
+    let answer = send(&site, path).await;
+    let took = started.elapsed();
+    assert!(
+        answer.as_ref().is_none_or(|(status, _)| *status == 502),
+        "status {:?}",
+        answer.map(|a| a.0)
+    );
+    assert!(
+        took < Duration::from_millis(3_500),
+        "given up only after {took:?}"
+    );
+    for upstream in &upstreams {
+        let sent = *upstream.bytes_sent.lock().unwrap();
+        assert!(sent < MAX_BYTES_READ, "{sent} bytes were read");
+    }
+}
+
+const TEXT_WITHOUT_EVENT: &str = "data: a line of an event that never ends, 64 bytes in all ......\n";
+
+/// Bytes that count as read: those of the largest answer, and what sockets and buffers hold.
+const MAX_BYTES_READ: usize = 32 << 20;
--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -17,7 +17,7 @@
     Send(String),
     Pause(Duration),
     /// Repeats the text until the peer closes the connection.
-    SendWithoutEnd(&'static str, Duration),
+    SendWithoutEnd(String, Duration),
     Close,
     Reset,
 }
@@ -76,8 +76,10 @@
             Step::Send(text) => self.send(stream, &text).await?,
             Step::Pause(time) => tokio::time::sleep(time).await,
             Step::SendWithoutEnd(text, pause) => loop {
-                self.send(stream, text).await?;
-                tokio::time::sleep(pause).await;
+                self.send(stream, &text).await?;
+                if !pause.is_zero() {
+                    tokio::time::sleep(pause).await;
+                }
             },
             Step::Close => return None,
             Step::Reset => {
