gateway: an event of more than 1 MiB breaks its stream off

An upstream in trouble may send bytes without end and without a blank line. The relay held them back as one event that was never complete: its buffer grew with every byte, and as bytes kept coming neither the stall limit nor the deadline ended the run. In the new test the naive gateway was still reading after 6 s, with a deadline of 4 s.

A run whose unfinished event exceeds 1 MiB is broken off now, as on the product's own interface, and is resumed where the route allows that.

--- a/src/domain/gateway/events.rs
+++ b/src/domain/gateway/events.rs
@@ -1,5 +1,8 @@
 //! Splitting of a byte stream into server-sent events.
 
+/// Largest event of a stream, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// One event, including the blank line that ends it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Event {
@@ -37,6 +40,11 @@
         &self.buffer
     }
 
+    /// Whether the bytes after the last complete event are too many for one event.
+    pub fn is_oversized(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Whether a stream that ends here is broken off: blank lines between events may follow the last one,
     /// and nothing else.
     pub fn is_inside_event(&self) -> bool {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -177,6 +177,10 @@
             };
             let events = splitter.push(&bytes);
             if events.is_empty() {
+                if splitter.is_oversized() {
+                    self.partial_bytes = splitter.remainder().len();
+                    return End::Broken(Outcome::Failed);
+                }
                 continue;
             }
             let is_first = !self.is_streaming;
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -13,6 +13,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use site::ACCOUNT_KEY;
 use site::STATE_TIMEOUT;
@@ -303,7 +304,8 @@
 ) {
     let (site, upstreams) = site_with_raw_upstreams(number, script).await;
     let started = Instant::now();
-    let answer = send(&site, path).await;
+    let answer = timeout(Duration::from_secs(6), send(&site, path)).await;
+    let answer = answer.expect("an end of the answer");
     let took = started.elapsed();
     assert!(
         answer.as_ref().is_none_or(|(status, _)| *status == 502),
@@ -324,3 +326,13 @@
 
 /// Bytes that count as read: those of the largest answer, and what sockets and buffers hold.
 const MAX_BYTES_READ: usize = 32 << 20;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_event_without_end_is_given_up() {
+    assert_bounded(
+        90,
+        "/stream/1",
+        without_end("{signed}\r\n", &TEXT_WITHOUT_EVENT.repeat(64)),
+    )
+    .await;
+}
