gateway: a stream that sends bytes but no events counts as stalled

The stall limit counted from the last byte, so an upstream that sent a byte now and then inside an event held a stream until its deadline, while callers leave after two seconds without an event. In the new test the caller got a broken stream at the deadline of 4 s; now the run is broken off three pauses of the route after its last event and resumed, in under 2 s.

The time that a slow caller takes to read does not count.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -36,9 +36,9 @@
 
 /// Chunks of complete events that are buffered for a slow caller.
 const MAX_BUFFERED_CHUNKS: usize = 16;
-/// Time without data after which a stream counts as stalled, in multiples of the route's `gap_ms`.
+/// Time without an event after which a stream counts as stalled, in multiples of the route's `gap_ms`.
 const STALL_TIMEOUT_GAPS: u32 = 3;
-/// Time without data after which a stream counts as stalled when the route states no `gap_ms`;
+/// Time without an event after which a stream counts as stalled when the route states no `gap_ms`;
 /// before the first event, at least this.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Longest wait for room to resume a stream. Callers leave after two seconds without an event; the
@@ -161,9 +161,12 @@
     /// Passes on the events of one run until it ends.
     async fn relay_events(&mut self, mut body: Incoming, send: &Send) -> End {
         let mut splitter = Splitter::default();
+        let mut last_event_at = clock::now();
         loop {
-            let time_left = self.request.deadline.saturating_sub(clock::now());
-            let max_pause = self.stall_timeout().min(time_left);
+            let now = clock::now();
+            let until_stall = (last_event_at + self.stall_timeout()).saturating_sub(now);
+            let time_left = self.request.deadline.saturating_sub(now);
+            let max_pause = until_stall.min(time_left);
             let frame = tokio::select! {
                 frame = timeout(max_pause, body.frame()) => frame,
                 () = self.sender.closed() => return End::CallerLeft,
@@ -212,6 +215,8 @@
             if !chunk.is_empty() && self.sender.send(Ok(chunk.into())).await.is_err() {
                 return End::CallerLeft;
             }
+            // Taken after the caller has read on, so that a slow caller does not count as a stall.
+            last_event_at = clock::now();
         }
     }
 
@@ -237,7 +242,7 @@
         End::Complete
     }
 
-    /// Time without data after which the current run counts as stalled.
+    /// Time without an event after which the current run counts as stalled.
     fn stall_timeout(&self) -> Duration {
         let gap = self.request.route.gap_ms.map(Duration::from_millis);
         let gap_limit = gap.map_or(STALL_TIMEOUT, |gap| gap * STALL_TIMEOUT_GAPS);
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -336,3 +336,30 @@
     )
     .await;
 }
+
+/// Such a stream keeps its connection busy, so the time since the last byte does not show that it stalls.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_sends_bytes_but_no_events_is_resumed() {
+    let script = |head: &str| match header(head, "last-event-id") {
+        None => vec![
+            Step::Send(format!("{}\r\n{}", answer_head(head), event_text(1, 4))),
+            Step::SendWithoutEnd("d".to_owned(), Duration::from_millis(100)),
+        ],
+        Some(last) => {
+            let rest = event_text(last.parse::<u64>().unwrap() + 1, 10);
+            vec![
+                Step::Send(format!("{}\r\n{rest}", answer_head(head))),
+                Step::Close,
+            ]
+        }
+    };
+    let (site, upstreams) = site_with_raw_upstreams(93, script).await;
+    let started = Instant::now();
+    let (status, body) = send(&site, "/resumable/1").await.expect("a complete answer");
+    assert_eq!((status, events(&body)), (200, (1..=10).collect::<Vec<u64>>()));
+    assert_eq!(resumed_after(&upstreams), ["4"]);
+    assert!(
+        started.elapsed() < Duration::from_secs(2),
+        "a caller leaves after 2 s without an event"
+    );
+}
