gateway: a stream that never pauses ends after its deadline

The deadline was a time limit on the wait for the next bytes, and an upstream whose bytes are always there never reached it: a stream of events without end went on as long as the caller read (the new test had no end after 6 s, deadline 4 s).

After the deadline a run passes on at most 1 MiB: events that are ready are still delivered, also late, for example after a freeze of the VM.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -41,6 +41,8 @@
 /// Time without an event after which a stream counts as stalled when the route states no `gap_ms`;
 /// before the first event, at least this.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Bytes of a run that are passed on after the deadline.
+const MAX_LATE_BYTES: usize = 1 << 20;
 /// Longest wait for room to resume a stream. Callers leave after two seconds without an event; the
 /// pause before the wait and the time to the first event after it count towards these two seconds.
 const RESUME_MAX_WAIT: Duration = Duration::from_millis(600);
@@ -162,6 +164,7 @@
     async fn relay_events(&mut self, mut body: Incoming, send: &Send) -> End {
         let mut splitter = Splitter::default();
         let mut last_event_at = clock::now();
+        let mut late_bytes = 0;
         loop {
             let now = clock::now();
             let until_stall = (last_event_at + self.stall_timeout()).saturating_sub(now);
@@ -178,6 +181,13 @@
                 Ok(Some(Err(_))) => return End::Broken(Outcome::Failed),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
+            // Bytes that are ready are passed on late, too, but not without end.
+            if time_left.is_zero() {
+                late_bytes += bytes.len();
+            }
+            if late_bytes > MAX_LATE_BYTES {
+                return End::Deadline;
+            }
             let events = splitter.push(&bytes);
             if events.is_empty() {
                 if splitter.is_oversized() {
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -363,3 +363,19 @@
         "a caller leaves after 2 s without an event"
     );
 }
+
+/// Events without end, faster than the caller reads them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_without_end_ends_at_its_deadline() {
+    let text = "data: the same event again and again\n\n";
+    let (site, _upstreams) = site_with_raw_upstreams(94, without_end("{signed}\r\n", &text.repeat(64))).await;
+    let started = Instant::now();
+    let answer = timeout(Duration::from_secs(6), send(&site, "/stream/1")).await;
+    assert_eq!(answer, Ok(None), "a stream that was cut looks complete");
+    // The deadline is 4 s, and the last events may wait in buffers.
+    assert!(
+        started.elapsed() < Duration::from_secs(5),
+        "{:?}",
+        started.elapsed()
+    );
+}
