tests: a head without end is given up by a gateway

Guards what holds already: `hyper` refuses a head of more than about 400 KB or 100 fields, so an upstream that sends field after field, or one field without end, gets 502 for its caller in about a second and takes no more memory than that.

--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -379,3 +379,21 @@
         started.elapsed()
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_head_without_end_is_given_up() {
+    assert_bounded(
+        91,
+        "/lookup/1",
+        without_end("HTTP/1.1 200 OK\r\nx-field: ", TEXT_OF_A_FIELD),
+    )
+    .await;
+    assert_bounded(
+        92,
+        "/lookup/1",
+        without_end("HTTP/1.1 200 OK\r\n", "x-field: value\r\n"),
+    )
+    .await;
+}
+
+const TEXT_OF_A_FIELD: &str = "a field value that never ends, with no line end in it, 64 bytes.";
