cli: the operator command gives up an answer without end

The time limit of a call covered only the head of the answer, and its body was collected without a bound: a control process in trouble that sends bytes now and then held the command for ever (the new test had no end after 9 s), and one that sends them without pause filled its memory. The limit of 6 s now covers the whole answer, of at most 16 MiB; then the next control process is asked.

--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -4,22 +4,25 @@
 
 use bytes::Bytes;
 use http::Method;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper_util::client::legacy::Client as Legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde_json::Value;
 use serde_json::json;
+use tokio::time::timeout;
 
 use super::Error;
 use crate::adapters::clock;
+use crate::adapters::http1::collect;
 use crate::domain::control::Status;
 use crate::domain::state::Change;
 use crate::domain::state::Reply;
 
-/// Longest wait for the answer of one control process.
+/// Longest wait for the whole answer of one control process.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
+/// Largest answer of a control process.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// HTTP client that tries several control processes in turn.
 #[derive(Clone, Debug)]
@@ -100,15 +103,17 @@
                 .header("authorization", format!("Bearer {}", self.key))
                 .body(Full::from(body.clone()))
                 .map_err(|e| Error::Input(e.to_string()))?;
-            let outcome = tokio::time::timeout(ANSWER_TIMEOUT, self.http.request(request)).await;
-            let Ok(Ok(response)) = outcome else {
-                continue;
+            let exchange = async {
+                let response = self.http.request(request).await.ok()?;
+                let status = response.status().as_u16();
+                let body = collect(response.into_body(), MAX_ANSWER_BYTES).await.ok()?;
+                Some((status, body))
             };
-            let status = response.status().as_u16();
-            let Ok(answer_body) = response.into_body().collect().await else {
+            let answer = timeout(ANSWER_TIMEOUT, exchange).await;
+            let Ok(Some((status, body))) = answer else {
                 continue;
             };
-            let value: Value = serde_json::from_slice(&answer_body.to_bytes()).unwrap_or_default();
+            let value: Value = serde_json::from_slice(&body).unwrap_or_default();
             if status == 200 {
                 return Ok(value);
             }
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use heatherramp::cli;
 use serde_json::Value;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
@@ -397,3 +398,21 @@
 }
 
 const TEXT_OF_A_FIELD: &str = "a field value that never ends, with no line end in it, 64 bytes.";
+
+/// The operator command calls control processes by the same means.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_operator_command_gives_up_an_answer_without_end() {
+    for pause in [Duration::ZERO, Duration::from_millis(100)] {
+        let script = move |_: &str| {
+            let text = "x".repeat(4_096);
+            let head = "HTTP/1.1 200 OK\r\n\r\n".to_owned();
+            vec![Step::Send(head), Step::SendWithoutEnd(text, pause)]
+        };
+        let control = Upstream::start(script).await;
+        let address = control.address.to_string();
+        let matches = cli::command().get_matches_from(["heatherramp", "--control", &address, "status"]);
+        let status = timeout(Duration::from_secs(9), cli::run(&matches)).await;
+        assert!(status.expect("an end").is_err());
+        assert!(*control.bytes_sent.lock().unwrap() < MAX_BYTES_READ);
+    }
+}
