gateway: a broken stream of events without identifiers is not run again

Such a stream was resumed without an offset, so the second run began from the start and its events followed those that the caller had: two runs joined in one answer. The new test counted two runs where one is allowed.

A run is only continued after an identified event, or when the caller has no event yet; otherwise the answer is aborted.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -267,7 +267,9 @@
         &mut self,
         context: &Arc<super::context::Context>,
     ) -> Option<(Incoming, Connection, Send)> {
-        let is_resumable = self.request.route.repeat == Repeat::Resumable;
+        // Without an identifier a further run would repeat the events that the caller has.
+        let can_continue = self.events == 0 || self.last_event_id.is_some();
+        let is_resumable = self.request.route.repeat == Repeat::Resumable && can_continue;
         while is_resumable && self.runs < self.request.route.max_sends {
             let now = clock::now();
             let time_left = self.request.deadline.saturating_sub(now);
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -416,3 +416,20 @@
         assert!(*control.bytes_sent.lock().unwrap() < MAX_BYTES_READ);
     }
 }
+
+/// Without identifiers a further run cannot be asked for the rest only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cut_stream_of_events_without_identifiers_is_not_run_again_into_the_same_answer() {
+    let script = |head: &str| {
+        let text = "data: piece\n\ndata: pie";
+        vec![
+            Step::Send(format!("{}\r\n{text}", answer_head(head))),
+            Step::Close,
+        ]
+    };
+    let (site, upstreams) = site_with_raw_upstreams(95, script).await;
+    let answer = send(&site, "/resumable/1").await;
+    assert!(answer.is_none(), "the answer looks complete: {answer:?}");
+    let requests: usize = upstreams.iter().map(Upstream::request_count).sum();
+    assert_eq!(requests, 1, "two runs were joined in one answer");
+}
