--- a/src/adapters/http1/server.rs
+++ b/src/adapters/http1/server.rs
@@ -110,10 +110,10 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     // Whether the caller speaks HTTP/1.0, whose answers may end with their connection.
-    let is_old_caller = Arc::new(AtomicBool::new(false));
-    let (is_old, closing) = (is_old_caller.clone(), server.closing.clone());
+    let is_http_1_0 = Arc::new(AtomicBool::new(false));
+    let (caller_is_http_1_0, closing) = (is_http_1_0.clone(), server.closing.clone());
     let service = service_fn(move |request| {
-        is_old.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
+        caller_is_http_1_0.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
         let response = handler(request);
         let closing = closing.clone();
         async move {
@@ -137,7 +137,7 @@
     // An error ends only this connection; usually the caller has disconnected.
     let ended = (&mut connection).await;
     let stream = connection.into_parts().io.into_inner();
-    if ended.is_err() && is_old_caller.load(Ordering::Relaxed) {
+    if ended.is_err() && is_http_1_0.load(Ordering::Relaxed) {
         // Only a reset shows this caller that its answer was aborted. It fails if the connection is gone.
         let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
     }
