--- a/tests/voters.rs
+++ b/tests/voters.rs
@@ -365,7 +365,8 @@
         self.power_off(index, off_ms, is_wiped);
     }
 
-    /// Cuts the power of all nodes right after an acknowledgement, and wipes the disks of two.
+    /// Cuts the power of all nodes right after an acknowledgement, and wipes the disks of two, or of as
+    /// many fewer as are lost already.
     fn inject_final_fault(&mut self) {
         let before = self.acknowledged;
         let until = self.now + 12_000;
@@ -387,10 +388,14 @@
                 self.trace.push(line);
             }
         }
-        let first = self.rng.random_range(0..NODE_COUNT);
-        let second = (first + self.rng.random_range(1..NODE_COUNT)) % NODE_COUNT;
+        let is_counted = |i: &usize| self.nodes[*i].lost_until <= self.now;
+        let counted: Vec<usize> = (0..NODE_COUNT).filter(is_counted).collect();
+        let first = self.rng.random_range(0..counted.len());
+        let second = (first + self.rng.random_range(1..counted.len())) % counted.len();
+        let wiped_count = 2_usize.saturating_sub(self.lost_nodes());
+        let wiped = &[counted[first], counted[second]][..wiped_count];
         for index in 0..NODE_COUNT {
-            self.power_off(index, 1_000, index == first || index == second);
+            self.power_off(index, 1_000, wiped.contains(&index));
         }
     }
 }
@@ -405,41 +410,64 @@
     (read("HEATHERRAMP_RUNS", 40), read("HEATHERRAMP_SEED", 1))
 }
 
+/// Runs one seed up to and beyond a final fault, which `prepare` may precede with another one.
+fn run_with_final_fault(seed: u64, prepare: impl Fn(&mut Simulation)) {
+    let mut simulation = Simulation::new(seed);
+    while simulation.now < 4_000 {
+        simulation.advance();
+    }
+    // Operators call any controller; one of these calls reaches the leader.
+    simulation.submit_to_all_nodes();
+    while simulation.now < 5_000 {
+        simulation.advance();
+    }
+    let trace = &simulation.trace;
+    assert!(
+        simulation.acknowledged > 0,
+        "seed {seed}: no change was accepted: {trace:#?}"
+    );
+    while simulation.now < 40_000 {
+        simulation.inject_fault();
+        simulation.advance();
+    }
+    while simulation.lost_nodes() > 0 {
+        simulation.advance();
+    }
+    prepare(&mut simulation);
+    simulation.inject_final_fault();
+    let before = simulation.acknowledged;
+    let until = simulation.now + 12_000;
+    while simulation.now < until {
+        simulation.advance();
+    }
+    let trace = &simulation.trace;
+    assert!(
+        simulation.acknowledged > before,
+        "seed {seed}: nothing was accepted after the final fault: {trace:#?}"
+    );
+}
+
 #[test]
 fn acknowledged_changes_survive_disk_losses_and_changes_are_accepted_again() {
     let (runs, first_seed) = run_count_and_first_seed();
     for seed in first_seed..first_seed + runs {
-        let mut simulation = Simulation::new(seed);
-        while simulation.now < 4_000 {
-            simulation.advance();
-        }
-        // Operators call any controller; one of these calls reaches the leader.
-        simulation.submit_to_all_nodes();
-        while simulation.now < 5_000 {
-            simulation.advance();
-        }
-        let trace = &simulation.trace;
-        assert!(
-            simulation.acknowledged > 0,
-            "seed {seed}: no change was accepted: {trace:#?}"
-        );
-        while simulation.now < 40_000 {
-            simulation.inject_fault();
-            simulation.advance();
-        }
-        while simulation.lost_nodes() > 0 {
-            simulation.advance();
-        }
-        simulation.inject_final_fault();
-        let before = simulation.acknowledged;
-        let until = simulation.now + 12_000;
-        while simulation.now < until {
-            simulation.advance();
-        }
-        let trace = &simulation.trace;
-        assert!(
-            simulation.acknowledged > before,
-            "seed {seed}: nothing was accepted after the final fault: {trace:#?}"
-        );
+        run_with_final_fault(seed, |_| {});
+    }
+}
+
+/// The node that catches up loses its power with the others, although it counts as lost already.
+#[test]
+fn acknowledged_changes_survive_a_loss_of_power_while_a_wiped_node_catches_up() {
+    let (runs, first_seed) = run_count_and_first_seed();
+    for seed in first_seed..first_seed + runs {
+        run_with_final_fault(seed, |simulation| {
+            let index = simulation.rng.random_range(0..NODE_COUNT);
+            let off_ms = simulation.rng.random_range(50..1_000);
+            simulation.power_off(index, off_ms, true);
+            let until = simulation.now + simulation.rng.random_range(1..off_ms + CATCH_UP_MS);
+            while simulation.now < until {
+                simulation.advance();
+            }
+        });
     }
 }
