--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -4,13 +4,23 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
+use bytes::Bytes;
+use serde_json::Value;
+use serde_json::json;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use super::ACCOUNT_KEY;
+use super::STATE_TIMEOUT;
+use super::Site;
+use super::Vm;
+use super::document;
+
 /// What a raw upstream does next on a connection.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -123,3 +133,90 @@
     let mut lines = head.lines();
     lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
 }
+
+/// Configuration with routes of each kind to the plain service.
+pub fn document_with_plain_routes() -> String {
+    let mut document: Value = serde_json::from_str(&document(3)).unwrap();
+    let routes = document["routes"].as_array_mut().unwrap();
+    let route = |name: &str, kind: &str| {
+        json!({"name": name, "host": "a.example", "path-prefix": format!("/{name}/"), "type": kind,
+               "timeout-ms": 4000, "target-latency-ms": 500, "target-gap-ms": 300, "max-attempts": 2,
+               "service": "desk"})
+    };
+    let mut resumable = route("resumable", "streaming");
+    resumable["stream-resume"] = json!(true);
+    routes.extend([
+        resumable,
+        route("stream", "streaming"),
+        route("lookup", "idempotent"),
+    ]);
+    document.to_string()
+}
+
+/// Site with two raw upstreams of the plain service that both follow `script`.
+pub async fn site_with_raw_upstreams(
+    number: u8,
+    script: impl Fn(&str) -> Vec<Step> + Clone + Send + Sync + 'static,
+) -> (Site, Vec<Upstream>) {
+    let site = Site::start(number);
+    let mut upstreams = Vec::new();
+    for i in 0..2 {
+        let script = script.clone();
+        let with_probe = move |head: &str| match head.contains(" /orders/") {
+            true => vec![Step::Send(format!(
+                "{}content-length: 0\r\n\r\n",
+                answer_head(head)
+            ))],
+            false => script(head),
+        };
+        let upstream = Upstream::start(with_probe).await;
+        let (id, address) = (format!("desk{i}"), upstream.address);
+        Vm::announce(&id, "desk", address, Default::default(), site.controllers.clone());
+        upstreams.push(upstream);
+    }
+    site.call_controllers("PUT", "/configuration", &document_with_plain_routes())
+        .await
+        .unwrap();
+    let started = Instant::now();
+    while upstreams.iter().any(|u| u.request_count() == 0) {
+        assert!(
+            started.elapsed() < STATE_TIMEOUT,
+            "an upstream got no request in time"
+        );
+        let bearer = format!("Bearer {ACCOUNT_KEY}");
+        // Two at a time, so that they go to different upstreams.
+        let headers = [("authorization", bearer.as_str())];
+        tokio::join!(
+            site.send_request("/orders/0", &headers),
+            site.send_request("/orders/1", &headers)
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    upstreams.iter().for_each(|u| u.heads.lock().unwrap().clear());
+    (site, upstreams)
+}
+
+pub async fn send(site: &Site, path: &str) -> Option<(u16, Bytes)> {
+    let bearer = format!("Bearer {ACCOUNT_KEY}");
+    site.send_request(path, &[("authorization", &bearer)]).await
+}
+
+/// Head of a signed answer to the request with this head, without framing and without its last line.
+pub fn answer_head(request: &str) -> String {
+    let id = header(request, "x-attempt-id").unwrap_or_default();
+    format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-signature: s\r\n")
+}
+
+/// Events `first` to `last` of a stream.
+pub fn event_text(first: u64, last: u64) -> String {
+    (first..=last)
+        .map(|i| format!("id: {i}\ndata: piece {i}\n\n"))
+        .collect()
+}
+
+pub fn resumed_after(upstreams: &[Upstream]) -> Vec<String> {
+    let heads = upstreams.iter().flat_map(|u| u.heads.lock().unwrap().clone());
+    heads
+        .filter_map(|h| header(&h, "last-event-id").map(str::to_owned))
+        .collect()
+}
