gateway: E408 says why a run broke, E412 why an answer was aborted

The log could not tell a stream whose upstream was silent from one whose connection was lost, and nothing was logged when a caller's answer was aborted.

E408 of streams has `cause`; the new event E412 has the reason for which no further run was started. No change of behaviour.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -76,6 +76,7 @@
         is_streaming: false,
         framing,
         partial_bytes: 0,
+        cause: "",
         first_ms: 0,
     };
     tokio::spawn(relay.run(body, connection, send));
@@ -109,6 +110,8 @@
     framing: Framing,
     /// Bytes after the last complete event with which the current run has ended.
     partial_bytes: usize,
+    /// Why the current run has broken.
+    cause: &'static str,
     /// Time from the request to its first event, in milliseconds.
     first_ms: u64,
 }
@@ -123,6 +126,7 @@
             let target = send.target.id.clone();
             self.is_streaming = false;
             self.partial_bytes = 0;
+            self.cause = "";
             let end = self.relay_events(body, &send).await;
             if self.is_streaming {
                 context.balancer().end_stream(&target);
@@ -140,6 +144,7 @@
                 }
                 End::Deadline => {
                     self.log_run_end(&target, "deadline");
+                    self.log_abort("deadline");
                     self.abort_answer().await;
                     return;
                 }
@@ -149,8 +154,9 @@
                     send.end(outcome);
                     self.log_run_end(&target, "broken");
                     match self.resume(&context).await {
-                        Some(next) => current = next,
-                        None => {
+                        Ok(next) => current = next,
+                        Err(reason) => {
+                            self.log_abort(reason);
                             self.abort_answer().await;
                             return;
                         }
@@ -176,9 +182,9 @@
             };
             let bytes = match frame {
                 Err(_) if max_pause == time_left => return End::Deadline,
-                Err(_) => return End::Broken(Outcome::Stalled),
+                Err(_) => return self.broken(Outcome::Stalled, "silent"),
                 Ok(None) => return self.end_run(splitter).await,
-                Ok(Some(Err(_))) => return End::Broken(Outcome::Failed),
+                Ok(Some(Err(_))) => return self.broken(Outcome::Failed, "connection lost"),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             // Bytes that are ready are passed on late, too, but not without end.
@@ -192,7 +198,7 @@
             if events.is_empty() {
                 if splitter.is_oversized() {
                     self.partial_bytes = splitter.remainder().len();
-                    return End::Broken(Outcome::Failed);
+                    return self.broken(Outcome::Failed, "event too large");
                 }
                 continue;
             }
@@ -230,6 +236,12 @@
         }
     }
 
+    /// End of a run that has broken, with the reason for the log.
+    fn broken(&mut self, outcome: Outcome, cause: &'static str) -> End {
+        self.cause = cause;
+        End::Broken(outcome)
+    }
+
     /// Ends a run whose body has ended without an error.
     ///
     /// The end of a connection also ends a body without framing, so only the events show whether it is whole.
@@ -238,7 +250,7 @@
         self.partial_bytes = remainder.len();
         let is_empty = self.events == 0 && self.framing == Framing::Connection;
         if is_empty || splitter.is_inside_event() {
-            return End::Broken(Outcome::Failed);
+            return self.broken(Outcome::Failed, "ended inside an event");
         }
         if !remainder.is_empty()
             && self
@@ -262,26 +274,33 @@
         gap_limit
     }
 
-    /// Starts another run after the last event, if the route, the retry budget and the deadline allow.
+    /// Starts another run after the last event, if the route, the retry budget and the deadline allow;
+    /// returns the reason if there is none.
     async fn resume(
         &mut self,
         context: &Arc<super::context::Context>,
-    ) -> Option<(Incoming, Connection, Send)> {
+    ) -> Result<(Incoming, Connection, Send), &'static str> {
         // Without an identifier a further run would repeat the events that the caller has.
         let can_continue = self.events == 0 || self.last_event_id.is_some();
-        let is_resumable = self.request.route.repeat == Repeat::Resumable && can_continue;
-        while is_resumable && self.runs < self.request.route.max_sends {
+        if self.request.route.repeat != Repeat::Resumable || !can_continue {
+            return Err("not resumable");
+        }
+        while self.runs < self.request.route.max_sends {
             let now = clock::now();
             let time_left = self.request.deadline.saturating_sub(now);
             let gateways = context.balancer().gateways();
             let name = &self.service.name;
             let is_within_budget = context.budget().try_retry(now, &context.settings, name, gateways);
-            if time_left.is_zero() || !is_within_budget {
-                return None;
+            if time_left.is_zero() {
+                return Err("deadline");
+            }
+            if !is_within_budget {
+                return Err("retry budget used up");
             }
             let (target, load) = self
                 .wait_for_target(context, now + RESUME_MAX_WAIT.min(time_left))
-                .await?;
+                .await
+                .ok_or("no target with room")?;
             let time_left = self.request.deadline.saturating_sub(clock::now());
             self.tried.push(target.id.clone());
             logging::REQUEST_SENT.log_fields(&[
@@ -290,8 +309,12 @@
                 ("load", load.into()),
                 ("after_event", self.last_event_id.unwrap_or(0).into()),
             ]);
-            let outgoing = upstream_request(&self.request, &target, time_left, self.last_event_id)?;
-            let address = target.address.parse().ok()?;
+            let outgoing = upstream_request(&self.request, &target, time_left, self.last_event_id)
+                .ok_or("request cannot be encoded")?;
+            let address = target
+                .address
+                .parse()
+                .map_err(|_| "invalid address of a target")?;
             let send = Send::start(context, target, &self.service);
             let sending = context.upstreams.send(address, outgoing, true);
             let sent = timeout(RESUME_HEAD_TIMEOUT.min(time_left), sending).await;
@@ -313,7 +336,7 @@
                 Classification::Own if response.status().is_success() => {
                     self.runs += 1;
                     self.framing = Framing::of(&response);
-                    return Some((response.into_body(), connection, send));
+                    return Ok((response.into_body(), connection, send));
                 }
                 Classification::Own | Classification::Foreign => {
                     self.runs += 1;
@@ -321,7 +344,7 @@
                 }
             }
         }
-        None
+        Err("no send left")
     }
 
     /// Waits for a target with room, at most until `wait_end`.
@@ -362,6 +385,19 @@
         let _ = self.sender.send(Err(Abort)).await;
     }
 
+    /// Logs why the answer ends without its last events.
+    fn log_abort(&self, reason: &str) {
+        logging::STREAM_ABORTED.log_fields(&[
+            ("request", self.request.id.as_str().into()),
+            ("route", self.request.route.name.as_str().into()),
+            ("reason", reason.into()),
+            ("events", self.events.into()),
+            ("runs", self.runs.into()),
+            ("version", self.request.catalog.version().into()),
+            ("after_ms", elapsed_ms(&self.request).into()),
+        ]);
+    }
+
     /// Logs the end of one run; `end` says how it ended.
     fn log_run_end(&self, target: &str, end: &str) {
         let event = if end == "broken" {
@@ -374,6 +410,7 @@
             ("route", self.request.route.name.as_str().into()),
             ("target", target.into()),
             ("end", end.into()),
+            ("cause", self.cause.into()),
             ("events", self.events.into()),
             ("runs", self.runs.into()),
             ("framing", self.framing.name().into()),
--- a/src/logging/catalogue.rs
+++ b/src/logging/catalogue.rs
@@ -229,6 +229,13 @@
     name: "target_notice",
     module: "gateway",
 };
+/// The answer to a caller was aborted before its stream was complete.
+pub const STREAM_ABORTED: Event = Event {
+    code: 412,
+    level: Level::Warn,
+    name: "stream_aborted",
+    module: "gateway",
+};
 /// This controller became the leader or lost the leadership.
 pub const FLEET_LEADERSHIP: Event = Event {
     code: 501,
@@ -341,6 +348,7 @@
     REQUESTS_SUMMED,
     TARGET_EJECTED,
     TARGET_NOTICE,
+    STREAM_ABORTED,
     FLEET_LEADERSHIP,
     FLEET_COMMITTED,
     GROUP_OPENED,
