--- /dev/null
+++ b/tests/silence.rs
@@ -0,0 +1,103 @@
+//! Sound upstreams that fall silent for a second or so and then go on.
+
+mod site;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use site::events;
+use site::raw::Step;
+use site::raw::answer_head;
+use site::raw::event_text;
+use site::raw::header;
+use site::raw::resumed_after;
+use site::raw::send;
+use site::raw::site_with_raw_upstreams;
+
+/// Longer than the 900 ms after which a stream with a gap of 300 ms counts as silent.
+const SILENCE: Duration = Duration::from_millis(1_300);
+
+/// Stream of ten events that pauses after the fourth one.
+fn stream_with_silence(head: &str) -> Vec<Step> {
+    vec![
+        Step::Send(format!("{}\r\n{}", answer_head(head), event_text(1, 4))),
+        Step::Pause(SILENCE),
+        Step::Send(event_text(5, 10)),
+        Step::Close,
+    ]
+}
+
+/// Refusal of a request that was not executed.
+fn not_executed() -> Vec<Step> {
+    vec![Step::Send(
+        "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n".to_owned(),
+    )]
+}
+
+async fn assert_whole_stream(number: u8, path: &str, script: fn(&str) -> Vec<Step>) -> Vec<String> {
+    let (site, upstreams) = site_with_raw_upstreams(number, script).await;
+    let answer = send(&site, path).await;
+    let (status, body) = answer.expect("the answer was cut while its upstream paused");
+    assert_eq!((status, events(&body)), (200, (1..=10).collect::<Vec<u64>>()));
+    resumed_after(&upstreams)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_stream_that_may_not_be_resumed_is_not_cut() {
+    assert_whole_stream(171, "/stream/1", stream_with_silence).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_stream_is_not_cut_when_no_upstream_takes_it_over() {
+    let script = |head: &str| match header(head, "last-event-id") {
+        None => stream_with_silence(head),
+        Some(_) => not_executed(),
+    };
+    assert_whole_stream(172, "/resumable/1", script).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_stream_is_not_cut_when_the_resumed_run_is_silent_too() {
+    let script = |head: &str| match header(head, "last-event-id") {
+        None => stream_with_silence(head),
+        Some(_) => vec![Step::Pause(Duration::from_secs(8))],
+    };
+    let resumed = assert_whole_stream(173, "/resumable/1", script).await;
+    assert_eq!(resumed, ["4"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_stream_is_not_cut_when_the_resumed_run_breaks() {
+    let script = |head: &str| match header(head, "last-event-id") {
+        None => stream_with_silence(head),
+        Some(_) => vec![Step::Pause(Duration::from_millis(100)), Step::Reset],
+    };
+    let resumed = assert_whole_stream(174, "/resumable/1", script).await;
+    assert_eq!(resumed, ["4"]);
+}
+
+/// An upstream that never goes on must still be left in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_stays_silent_is_resumed_before_its_caller_leaves() {
+    let script = |head: &str| match header(head, "last-event-id") {
+        None => vec![
+            Step::Send(format!("{}\r\n{}", answer_head(head), event_text(1, 4))),
+            Step::Pause(Duration::from_secs(8)),
+        ],
+        Some(last) => {
+            let rest = event_text(last.parse::<u64>().unwrap() + 1, 10);
+            vec![
+                Step::Send(format!("{}\r\n{rest}", answer_head(head))),
+                Step::Close,
+            ]
+        }
+    };
+    let started = Instant::now();
+    let (site, upstreams) = site_with_raw_upstreams(175, script).await;
+    let site_ready = started.elapsed();
+    let (status, body) = send(&site, "/resumable/1").await.expect("a complete answer");
+    assert_eq!((status, events(&body)), (200, (1..=10).collect::<Vec<u64>>()));
+    assert_eq!(resumed_after(&upstreams), ["4"]);
+    // Callers leave after two seconds without an event.
+    assert!(started.elapsed() < site_ready + Duration::from_secs(2));
+}
