gateway: a silent run of a stream is kept until another one has answered

Cause: the relay took three gaps without an event for a failure of the upstream. It closed the upstream's connection first and then looked for another run; where the route allows none, or no send, retry or room was left, or the next upstream refused or was silent too, nothing remained but to abort.

Now a silent run is read on while another one is sought. Its next event ends the search; the other run's head ends the silent run. When no other run can be had, the answer ends only with its run, its deadline or its caller. The last permitted send of a resumed stream may take all the time left for its head, for the same reason. A caller that leaves during the search ends it. The relay is split: one run (stream_run.rs), the search for another one (search.rs).

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,9 +8,11 @@
 mod metrics;
 mod request;
 mod run;
+mod search;
 mod send;
 mod status;
 mod stream;
+mod stream_run;
 mod sync;
 
 pub use crate::daemon::Error;
--- /dev/null
+++ b/src/gateway/search.rs
@@ -0,0 +1,210 @@
+//! Search for another target that continues a stream after its last event.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::context::Context;
+use super::request::Request;
+use super::send::Classification;
+use super::send::Send;
+use super::send::classify;
+use super::send::upstream_request;
+use super::stream_run::Run;
+use crate::adapters::clock;
+use crate::adapters::http1::Failure;
+use crate::domain::catalog::Repeat;
+use crate::domain::catalog::Service;
+use crate::domain::fleet::Target;
+use crate::domain::gateway::Choice;
+use crate::domain::gateway::Criteria;
+use crate::domain::gateway::Outcome;
+use crate::logging;
+
+/// Longest wait for room to resume a stream. Callers leave after two seconds without an event; the
+/// pause before the wait and the time to the first event after it count towards these two seconds.
+pub(super) const MAX_WAIT: Duration = Duration::from_millis(600);
+/// Time limit for the head of a resumed run while a further send is possible.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Delay after a search without a result while the current run may still go on.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How far a stream has come.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Position {
+    /// Number of events that were passed on.
+    pub(super) events: u64,
+    /// Identifier of the last one.
+    pub(super) last_event_id: Option<u64>,
+}
+
+/// Sends of one stream, and the search for a further one.
+pub(super) struct Search {
+    context: Arc<Context>,
+    request: Arc<Request>,
+    service: Service,
+    /// Identifiers of the targets of the first run and of each send since.
+    tried: Vec<String>,
+    /// Sends that a target may have executed.
+    runs: u32,
+}
+
+impl Search {
+    /// Search after `runs` sends, of which the last one, to `target`, has led to the stream.
+    pub(super) fn new(
+        context: &Arc<Context>,
+        request: &Arc<Request>,
+        service: Service,
+        target: &str,
+        runs: u32,
+    ) -> Self {
+        Search {
+            context: context.clone(),
+            request: request.clone(),
+            service,
+            tried: vec![target.to_owned()],
+            runs,
+        }
+    }
+
+    /// Number of sends that a target may have executed.
+    pub(super) fn runs(&self) -> u32 {
+        self.runs
+    }
+
+    /// Records the time from the request to its first event.
+    pub(super) fn record_first_event(&self) {
+        let labels = [self.service.name.as_str()];
+        let took_s = (clock::now() - self.request.started).as_secs_f64();
+        let first_answer = self.context.metrics.first_answer.with_label_values(&labels);
+        first_answer.observe(took_s);
+    }
+
+    /// Starts another run while the current one is silent; never returns if no send is possible.
+    ///
+    /// A send in progress when the search is dropped counts as a run.
+    pub(super) async fn next_run_eventually(&mut self, position: Position) -> Run {
+        loop {
+            if let Ok(run) = self.next_run(position).await {
+                return run;
+            }
+            tokio::time::sleep(SEARCH_INTERVAL).await;
+        }
+    }
+
+    /// Starts another run after the last event, if the route, the retry budget and the deadline allow;
+    /// returns the reason if there is none.
+    pub(super) async fn next_run(&mut self, position: Position) -> Result<Run, &'static str> {
+        // Without an identifier a further run would repeat the events that the caller has.
+        let can_continue = position.events == 0 || position.last_event_id.is_some();
+        if self.request.route.repeat != Repeat::Resumable || !can_continue {
+            return Err("not resumable");
+        }
+        while self.runs < self.request.route.max_sends {
+            let target = self.wait_for_target(position).await?;
+            if let Some(run) = self.send(target, position).await? {
+                return Ok(run);
+            }
+        }
+        Err("no send left")
+    }
+
+    /// Sends the request to a target; returns none if that leads to no run.
+    async fn send(&mut self, target: Target, position: Position) -> Result<Option<Run>, &'static str> {
+        let time_left = self.request.deadline.saturating_sub(clock::now());
+        let outgoing = upstream_request(&self.request, &target, time_left, position.last_event_id)
+            .ok_or("request cannot be encoded")?;
+        let address = target
+            .address
+            .parse()
+            .map_err(|_| "invalid address of a target")?;
+        self.tried.push(target.id.clone());
+        // Counted before its outcome is known, because the search may be dropped meanwhile.
+        self.runs += 1;
+        let is_last = self.runs >= self.request.route.max_sends;
+        let head_timeout = if is_last {
+            time_left
+        } else {
+            HEAD_TIMEOUT.min(time_left)
+        };
+        let send = Send::start(&self.context, target, &self.service);
+        let sending = self.context.upstreams.send(address, outgoing, true);
+        let (response, connection) = match timeout(head_timeout, sending).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(Failure::Unsent)) => {
+                self.runs -= 1;
+                send.end(Outcome::Failed);
+                return Ok(None);
+            }
+            Ok(Err(Failure::Unknown)) | Err(_) => {
+                send.end(Outcome::Failed);
+                return Ok(None);
+            }
+        };
+        send.record_notice(&response);
+        match classify(&self.request, &response) {
+            Classification::NotRun(outcome) => {
+                self.runs -= 1;
+                send.end(outcome);
+                Ok(None)
+            }
+            Classification::Own if response.status().is_success() => {
+                Ok(Some(Run::new(response, connection, send, position.events)))
+            }
+            Classification::Own | Classification::Foreign => {
+                send.end(Outcome::Failed);
+                Ok(None)
+            }
+        }
+    }
+
+    /// Waits for a target with room, and takes a retry out of the budget.
+    ///
+    /// A group that stops breaks all its streams at the same time, and the other groups rarely have room
+    /// for all of them immediately.
+    async fn wait_for_target(&self, position: Position) -> Result<Target, &'static str> {
+        let wait_end = self.request.deadline.min(clock::now() + MAX_WAIT);
+        loop {
+            // Created before the check, so that room signalled during it is not missed.
+            let room_signal = self.context.room.notified();
+            let now = clock::now();
+            if now >= self.request.deadline {
+                return Err("deadline");
+            }
+            let criteria = Criteria {
+                service: &self.service,
+                model: self.request.model.as_deref(),
+                tried: &self.tried,
+                reserve: 0,
+                draw: rand::random(),
+            };
+            let choice = self.context.balancer().choose(now, &criteria);
+            match choice {
+                Choice::Send { target, load } => {
+                    let gateways = self.context.balancer().gateways();
+                    let (settings, name) = (&self.context.settings, &self.service.name);
+                    if !self.context.budget().try_retry(now, settings, name, gateways) {
+                        return Err("retry budget used up");
+                    }
+                    self.log_sent(&target, load, position);
+                    return Ok(target);
+                }
+                Choice::Full(_) if now < wait_end => {
+                    // Whether room was signalled or the time is up, the targets are checked again.
+                    let _ = timeout(wait_end - now, room_signal).await;
+                }
+                Choice::Full(_) | Choice::NoTarget => return Err("no target with room"),
+            }
+        }
+    }
+
+    fn log_sent(&self, target: &Target, load: u32, position: Position) {
+        logging::REQUEST_SENT.log_fields(&[
+            ("request", self.request.id.as_str().into()),
+            ("target", target.id.as_str().into()),
+            ("load", load.into()),
+            ("after_event", position.last_event_id.unwrap_or(0).into()),
+        ]);
+    }
+}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,7 +1,9 @@
 //! Relay of event streams: passes on complete events in order and resumes a stream that breaks.
 //!
-//! A run is the execution of the request by one target; a stream that is resumed has several.
+//! A run is the execution of the request by one target; a stream that is resumed has several. A run that
+//! is silent may go on, so it is kept until another one has answered.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,39 +17,29 @@
 use super::dispatch::elapsed_ms;
 use super::request::Request;
 use super::request::strip_hop_by_hop;
-use super::send::Classification;
+use super::search;
+use super::search::Position;
+use super::search::Search;
 use super::send::Send;
-use super::send::classify;
-use super::send::upstream_request;
+use super::stream_run::End;
+use super::stream_run::Progress;
+use super::stream_run::Run;
 use crate::adapters::clock;
 use crate::adapters::http1::Abort;
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Connection;
-use crate::adapters::http1::Failure;
-use crate::adapters::http1::Framing;
-use crate::domain::catalog::Repeat;
 use crate::domain::catalog::Service;
-use crate::domain::fleet::Target;
-use crate::domain::gateway::Choice;
-use crate::domain::gateway::Criteria;
+use crate::domain::gateway::Event;
 use crate::domain::gateway::Outcome;
-use crate::domain::gateway::Splitter;
 use crate::logging;
 
 /// Chunks of complete events that are buffered for a slow caller.
 const MAX_BUFFERED_CHUNKS: usize = 16;
-/// Time without an event after which a stream counts as stalled, in multiples of the route's `gap_ms`.
-const STALL_TIMEOUT_GAPS: u32 = 3;
-/// Time without an event after which a stream counts as stalled when the route states no `gap_ms`;
+/// Time without an event after which a run counts as silent, in multiples of the route's `gap_ms`.
+const SILENCE_GAPS: u32 = 3;
+/// Time without an event after which a run counts as silent when the route states no `gap_ms`;
 /// before the first event, at least this.
-const STALL_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Bytes of a run that are passed on after the deadline.
-const MAX_LATE_BYTES: usize = 1 << 20;
-/// Longest wait for room to resume a stream. Callers leave after two seconds without an event; the
-/// pause before the wait and the time to the first event after it count towards these two seconds.
-const RESUME_MAX_WAIT: Duration = Duration::from_millis(600);
-/// Time limit for the head of a resumed stream.
-const RESUME_HEAD_TIMEOUT: Duration = Duration::from_millis(1_200);
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
 
 /// Starts a task that relays a stream, and returns the answer for the caller.
 pub(super) fn start_relay(
@@ -58,363 +50,209 @@
     connection: Connection,
     send: Send,
 ) -> Response<Body> {
-    let framing = Framing::of(&response);
-    let (head, body) = response.into_parts();
     let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-    let mut answer = Response::from_parts(head, Body::Stream(receiver));
+    let mut answer = Response::new(Body::Stream(receiver));
+    *answer.status_mut() = response.status();
+    answer.headers_mut().clone_from(response.headers());
     strip_hop_by_hop(answer.headers_mut());
     // The length that the first run announced may not hold for a resumed stream.
     answer.headers_mut().remove(http::header::CONTENT_LENGTH);
     let relay = Relay {
+        search: Search::new(&send.context, &request, service, &send.target.id, runs),
         request,
-        service,
         sender,
-        runs,
-        tried: vec![send.target.id.clone()],
-        last_event_id: None,
-        events: 0,
-        is_streaming: false,
-        framing,
-        partial_bytes: 0,
-        cause: "",
+        position: Position::default(),
         first_ms: 0,
     };
-    tokio::spawn(relay.run(body, connection, send));
+    tokio::spawn(relay.run(Run::new(response, connection, send, 0)));
     answer
 }
 
-/// How one run of a stream, from one target, ended.
-enum End {
-    Complete,
-    CallerLeft,
-    Deadline,
-    Broken(Outcome),
-}
-
 /// Task that relays one stream, over several runs if it is resumed.
 struct Relay {
     request: Arc<Request>,
-    service: Service,
     sender: mpsc::Sender<Result<Bytes, Abort>>,
-    /// Sends that a target may have executed.
-    runs: u32,
-    /// Identifiers of the targets of the first run and of each send since.
-    tried: Vec<String>,
-    /// Identifier of the last event that was passed on.
-    last_event_id: Option<u64>,
-    /// Number of events that were passed on.
-    events: u64,
-    /// Whether the current run has delivered an event.
-    is_streaming: bool,
-    /// Framing of the current run's answer.
-    framing: Framing,
-    /// Bytes after the last complete event with which the current run has ended.
-    partial_bytes: usize,
-    /// Why the current run has broken.
-    cause: &'static str,
+    search: Search,
+    position: Position,
     /// Time from the request to its first event, in milliseconds.
     first_ms: u64,
 }
 
 impl Relay {
     /// Relays runs until the stream ends or cannot be resumed.
-    async fn run(mut self, body: Incoming, connection: Connection, send: Send) {
-        let mut current = (body, connection, send);
+    async fn run(mut self, mut run: Run) {
         loop {
-            let (body, connection, send) = current;
-            let context = send.context.clone();
-            let target = send.target.id.clone();
-            self.is_streaming = false;
-            self.partial_bytes = 0;
-            self.cause = "";
-            let end = self.relay_events(body, &send).await;
-            if self.is_streaming {
-                context.balancer().end_stream(&target);
+            let mut progress = self.receive(&mut run).await;
+            if matches!(progress, Progress::Silent) {
+                progress = self.outlast_silence(&mut run).await;
             }
+            let end = match progress {
+                Progress::Silent => continue,
+                Progress::Events(events) if self.pass_on(&events).await => continue,
+                Progress::Events(_) => End::CallerLeft,
+                Progress::Ended(End::Complete) => self.pass_on_remainder(&run).await,
+                Progress::Ended(end) => end,
+            };
+            self.log_run_end(&run, end);
             match end {
-                End::Complete => {
-                    context.upstreams.return_connection(connection);
-                    send.end(Outcome::Answered);
-                    self.log_run_end(&target, "complete");
-                    return;
-                }
-                End::CallerLeft => {
-                    self.log_run_end(&target, "caller left");
-                    return;
-                }
+                End::Complete => return run.complete(),
+                End::CallerLeft => return run.abandon(Outcome::Abandoned),
                 End::Deadline => {
-                    self.log_run_end(&target, "deadline");
-                    self.log_abort("deadline");
-                    self.abort_answer().await;
-                    return;
-                }
-                End::Broken(outcome) => {
-                    // Closing the connection makes the upstream stop its work on the request.
-                    drop(connection);
-                    send.end(outcome);
-                    self.log_run_end(&target, "broken");
-                    match self.resume(&context).await {
-                        Ok(next) => current = next,
-                        Err(reason) => {
-                            self.log_abort(reason);
-                            self.abort_answer().await;
-                            return;
-                        }
-                    }
+                    run.abandon(Outcome::Abandoned);
+                    return self.abort_answer("deadline").await;
                 }
+                End::Broken(_) => run.abandon(Outcome::Failed),
+            }
+            let next = tokio::select! {
+                next = self.search.next_run(self.position) => next,
+                () = self.sender.closed() => return,
+            };
+            match next {
+                Ok(next) => run = next,
+                Err(reason) => return self.abort_answer(reason).await,
             }
         }
     }
 
-    /// Passes on the events of one run until it ends.
-    async fn relay_events(&mut self, mut body: Incoming, send: &Send) -> End {
-        let mut splitter = Splitter::default();
-        let mut last_event_at = clock::now();
-        let mut late_bytes = 0;
+    /// Waits until a run brings events, ends, or has been silent for too long.
+    async fn receive(&self, run: &mut Run) -> Progress {
+        let silent_at = clock::now() + self.silence_limit();
         loop {
             let now = clock::now();
-            let until_stall = (last_event_at + self.stall_timeout()).saturating_sub(now);
             let time_left = self.request.deadline.saturating_sub(now);
-            let max_pause = until_stall.min(time_left);
+            let max_pause = silent_at.saturating_sub(now).min(time_left);
             let frame = tokio::select! {
-                frame = timeout(max_pause, body.frame()) => frame,
-                () = self.sender.closed() => return End::CallerLeft,
+                frame = timeout(max_pause, run.body.frame()) => frame,
+                () = self.sender.closed() => return Progress::Ended(End::CallerLeft),
             };
-            let bytes = match frame {
-                Err(_) if max_pause == time_left => return End::Deadline,
-                Err(_) => return self.broken(Outcome::Stalled, "silent"),
-                Ok(None) => return self.end_run(splitter).await,
-                Ok(Some(Err(_))) => return self.broken(Outcome::Failed, "connection lost"),
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            };
-            // Bytes that are ready are passed on late, too, but not without end.
-            if time_left.is_zero() {
-                late_bytes += bytes.len();
-            }
-            if late_bytes > MAX_LATE_BYTES {
-                return End::Deadline;
-            }
-            let events = splitter.push(&bytes);
-            if events.is_empty() {
-                if splitter.is_oversized() {
-                    self.partial_bytes = splitter.remainder().len();
-                    return self.broken(Outcome::Failed, "event too large");
-                }
-                continue;
-            }
-            let is_first = !self.is_streaming;
-            self.is_streaming = true;
-            send.context
-                .balancer()
-                .record_event(clock::now(), &send.target.id, is_first);
-            if self.events == 0 {
-                let labels = [self.service.name.as_str()];
-                let took_s = (clock::now() - self.request.started).as_secs_f64();
-                let first_answer = send.context.metrics.first_answer.with_label_values(&labels);
-                first_answer.observe(took_s);
-                self.first_ms = elapsed_ms(&self.request);
-            }
-            send.context.metrics.events.inc_by(events.len() as u64);
-            let mut chunk = Vec::new();
-            for event in events {
-                // A resumed run may repeat events that the caller already has.
-                let is_duplicate = event
-                    .id
-                    .is_some_and(|id| self.last_event_id.is_some_and(|last| id <= last));
-                if is_duplicate {
-                    continue;
+            match frame {
+                Err(_) if max_pause == time_left => return Progress::Ended(End::Deadline),
+                Err(_) => return Progress::Silent,
+                Ok(frame) => {
+                    if let Some(progress) = run.receive(frame, self.request.deadline) {
+                        return progress;
+                    }
                 }
-                self.last_event_id = event.id.or(self.last_event_id);
-                self.events += 1;
-                chunk.extend_from_slice(&event.bytes);
-            }
-            if !chunk.is_empty() && self.sender.send(Ok(chunk.into())).await.is_err() {
-                return End::CallerLeft;
             }
-            // Taken after the caller has read on, so that a slow caller does not count as a stall.
-            last_event_at = clock::now();
         }
     }
 
-    /// End of a run that has broken, with the reason for the log.
-    fn broken(&mut self, outcome: Outcome, cause: &'static str) -> End {
-        self.cause = cause;
-        End::Broken(outcome)
-    }
-
-    /// Ends a run whose body has ended without an error.
+    /// Waits for a silent run to go on while another one is sought, and takes what comes first.
     ///
-    /// The end of a connection also ends a body without framing, so only the events show whether it is whole.
-    async fn end_run(&mut self, splitter: Splitter) -> End {
-        let remainder = splitter.remainder();
-        self.partial_bytes = remainder.len();
-        let is_empty = self.events == 0 && self.framing == Framing::Connection;
-        if is_empty || splitter.is_inside_event() {
-            return self.broken(Outcome::Failed, "ended inside an event");
-        }
-        if !remainder.is_empty()
-            && self
-                .sender
-                .send(Ok(Bytes::copy_from_slice(remainder)))
-                .await
-                .is_err()
-        {
-            return End::CallerLeft;
-        }
-        End::Complete
+    /// Returns `Silent` after `run` was replaced by another one.
+    async fn outlast_silence(&mut self, run: &mut Run) -> Progress {
+        let deadline = self.request.deadline;
+        let next = {
+            let mut next_run = pin!(self.search.next_run_eventually(self.position));
+            loop {
+                let time_left = deadline.saturating_sub(clock::now());
+                let progress = tokio::select! {
+                    frame = timeout(time_left, run.body.frame()) => match frame {
+                        Err(_) => return Progress::Ended(End::Deadline),
+                        Ok(frame) => run.receive(frame, deadline),
+                    },
+                    () = self.sender.closed() => return Progress::Ended(End::CallerLeft),
+                    next = &mut next_run => break next,
+                };
+                match progress {
+                    None => {}
+                    // A send that is in progress may still lead to another run.
+                    Some(Progress::Ended(End::Broken(cause))) => {
+                        tokio::select! {
+                            next = timeout(search::MAX_WAIT.min(time_left), &mut next_run) => match next {
+                                Ok(next) => break next,
+                                Err(_) => return Progress::Ended(End::Broken(cause)),
+                            },
+                            () = self.sender.closed() => return Progress::Ended(End::CallerLeft),
+                        }
+                    }
+                    Some(progress) => return progress,
+                }
+            }
+        };
+        self.log_run_end(run, End::Broken("silent"));
+        std::mem::replace(run, next).abandon(Outcome::Stalled);
+        Progress::Silent
     }
 
-    /// Time without an event after which the current run counts as stalled.
-    fn stall_timeout(&self) -> Duration {
-        let gap = self.request.route.gap_ms.map(Duration::from_millis);
-        let gap_limit = gap.map_or(STALL_TIMEOUT, |gap| gap * STALL_TIMEOUT_GAPS);
-        if self.events == 0 {
-            return STALL_TIMEOUT.max(gap_limit);
+    /// Passes events on to the caller; returns whether it is still there.
+    async fn pass_on(&mut self, events: &[Event]) -> bool {
+        if self.position.events == 0 {
+            self.search.record_first_event();
+            self.first_ms = elapsed_ms(&self.request);
         }
-        gap_limit
+        let mut chunk = Vec::new();
+        for event in events {
+            let position = &mut self.position;
+            // A resumed run may repeat events that the caller already has.
+            let is_duplicate = event
+                .id
+                .is_some_and(|id| position.last_event_id.is_some_and(|last| id <= last));
+            if is_duplicate {
+                continue;
+            }
+            position.last_event_id = event.id.or(position.last_event_id);
+            position.events += 1;
+            chunk.extend_from_slice(&event.bytes);
+        }
+        chunk.is_empty() || self.sender.send(Ok(chunk.into())).await.is_ok()
     }
 
-    /// Starts another run after the last event, if the route, the retry budget and the deadline allow;
-    /// returns the reason if there is none.
-    async fn resume(
-        &mut self,
-        context: &Arc<super::context::Context>,
-    ) -> Result<(Incoming, Connection, Send), &'static str> {
-        // Without an identifier a further run would repeat the events that the caller has.
-        let can_continue = self.events == 0 || self.last_event_id.is_some();
-        if self.request.route.repeat != Repeat::Resumable || !can_continue {
-            return Err("not resumable");
+    /// Passes on what follows the last event of a complete run, such as blank lines.
+    async fn pass_on_remainder(&self, run: &Run) -> End {
+        let remainder = run.remainder();
+        if remainder.is_empty() {
+            return End::Complete;
         }
-        while self.runs < self.request.route.max_sends {
-            let now = clock::now();
-            let time_left = self.request.deadline.saturating_sub(now);
-            let gateways = context.balancer().gateways();
-            let name = &self.service.name;
-            let is_within_budget = context.budget().try_retry(now, &context.settings, name, gateways);
-            if time_left.is_zero() {
-                return Err("deadline");
-            }
-            if !is_within_budget {
-                return Err("retry budget used up");
-            }
-            let (target, load) = self
-                .wait_for_target(context, now + RESUME_MAX_WAIT.min(time_left))
-                .await
-                .ok_or("no target with room")?;
-            let time_left = self.request.deadline.saturating_sub(clock::now());
-            self.tried.push(target.id.clone());
-            logging::REQUEST_SENT.log_fields(&[
-                ("request", self.request.id.as_str().into()),
-                ("target", target.id.as_str().into()),
-                ("load", load.into()),
-                ("after_event", self.last_event_id.unwrap_or(0).into()),
-            ]);
-            let outgoing = upstream_request(&self.request, &target, time_left, self.last_event_id)
-                .ok_or("request cannot be encoded")?;
-            let address = target
-                .address
-                .parse()
-                .map_err(|_| "invalid address of a target")?;
-            let send = Send::start(context, target, &self.service);
-            let sending = context.upstreams.send(address, outgoing, true);
-            let sent = timeout(RESUME_HEAD_TIMEOUT.min(time_left), sending).await;
-            let (response, connection) = match sent {
-                Ok(Ok(answer)) => answer,
-                Ok(Err(Failure::Unsent)) => {
-                    send.end(Outcome::Failed);
-                    continue;
-                }
-                Ok(Err(Failure::Unknown)) | Err(_) => {
-                    self.runs += 1;
-                    send.end(Outcome::Failed);
-                    continue;
-                }
-            };
-            send.record_notice(&response);
-            match classify(&self.request, &response) {
-                Classification::NotRun(outcome) => send.end(outcome),
-                Classification::Own if response.status().is_success() => {
-                    self.runs += 1;
-                    self.framing = Framing::of(&response);
-                    return Ok((response.into_body(), connection, send));
-                }
-                Classification::Own | Classification::Foreign => {
-                    self.runs += 1;
-                    send.end(Outcome::Failed);
-                }
-            }
+        match self.sender.send(Ok(Bytes::copy_from_slice(remainder))).await {
+            Ok(()) => End::Complete,
+            Err(_) => End::CallerLeft,
         }
-        Err("no send left")
     }
 
-    /// Waits for a target with room, at most until `wait_end`.
-    ///
-    /// A group that stops breaks all its streams at the same time, and the other groups rarely have room
-    /// for all of them immediately.
-    async fn wait_for_target(
-        &self,
-        context: &Arc<super::context::Context>,
-        wait_end: Duration,
-    ) -> Option<(Target, u32)> {
-        loop {
-            // Created before the check, so that room signalled during it is not missed.
-            let room_signal = context.room.notified();
-            let now = clock::now();
-            let criteria = Criteria {
-                service: &self.service,
-                model: self.request.model.as_deref(),
-                tried: &self.tried,
-                reserve: 0,
-                draw: rand::random(),
-            };
-            let choice = context.balancer().choose(now, &criteria);
-            match choice {
-                Choice::Send { target, load } => return Some((target, load)),
-                Choice::Full(_) if now < wait_end => {
-                    // Whether room was signalled or the time is up, the targets are checked again.
-                    let _ = timeout(wait_end - now, room_signal).await;
-                }
-                Choice::Full(_) | Choice::NoTarget => return None,
-            }
+    /// Time without an event after which the current run counts as silent.
+    fn silence_limit(&self) -> Duration {
+        let gap = self.request.route.gap_ms.map(Duration::from_millis);
+        let gap_limit = gap.map_or(SILENCE_LIMIT, |gap| gap * SILENCE_GAPS);
+        if self.position.events == 0 {
+            return SILENCE_LIMIT.max(gap_limit);
         }
+        gap_limit
     }
 
     /// Ends the answer with an error, so that the caller does not take it for complete.
-    async fn abort_answer(&self) {
-        // Sending fails when the caller has left.
-        let _ = self.sender.send(Err(Abort)).await;
-    }
-
-    /// Logs why the answer ends without its last events.
-    fn log_abort(&self, reason: &str) {
+    async fn abort_answer(&self, reason: &str) {
         logging::STREAM_ABORTED.log_fields(&[
             ("request", self.request.id.as_str().into()),
             ("route", self.request.route.name.as_str().into()),
             ("reason", reason.into()),
-            ("events", self.events.into()),
-            ("runs", self.runs.into()),
+            ("events", self.position.events.into()),
+            ("runs", self.search.runs().into()),
             ("version", self.request.catalog.version().into()),
             ("after_ms", elapsed_ms(&self.request).into()),
         ]);
+        // Sending fails when the caller has left.
+        let _ = self.sender.send(Err(Abort)).await;
     }
 
-    /// Logs the end of one run; `end` says how it ended.
-    fn log_run_end(&self, target: &str, end: &str) {
-        let event = if end == "broken" {
-            logging::SEND_FAILED
-        } else {
-            logging::REQUEST_ENDED
+    /// Logs how one run ended.
+    fn log_run_end(&self, run: &Run, end: End) {
+        let (event, end, cause) = match end {
+            End::Complete => (logging::REQUEST_ENDED, "complete", ""),
+            End::CallerLeft => (logging::REQUEST_ENDED, "caller left", ""),
+            End::Deadline => (logging::REQUEST_ENDED, "deadline", ""),
+            End::Broken(cause) => (logging::SEND_FAILED, "broken", cause),
         };
         event.log_fields(&[
             ("request", self.request.id.as_str().into()),
             ("route", self.request.route.name.as_str().into()),
-            ("target", target.into()),
+            ("target", run.target().into()),
             ("end", end.into()),
-            ("cause", self.cause.into()),
-            ("events", self.events.into()),
-            ("runs", self.runs.into()),
-            ("framing", self.framing.name().into()),
-            ("partial_bytes", (self.partial_bytes as u64).into()),
+            ("cause", cause.into()),
+            ("events", self.position.events.into()),
+            ("runs", self.search.runs().into()),
+            ("framing", run.framing.name().into()),
+            ("partial_bytes", (run.remainder().len() as u64).into()),
             ("first_ms", self.first_ms.into()),
             ("after_ms", elapsed_ms(&self.request).into()),
         ]);
--- /dev/null
+++ b/src/gateway/stream_run.rs
@@ -0,0 +1,144 @@
+//! One run of a stream: the events of one target's answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+
+use super::send::Send;
+use crate::adapters::clock;
+use crate::adapters::http1::Connection;
+use crate::adapters::http1::Framing;
+use crate::domain::gateway::Event;
+use crate::domain::gateway::Outcome;
+use crate::domain::gateway::Splitter;
+
+/// Bytes of a run that are passed on after the deadline.
+const MAX_LATE_BYTES: usize = 1 << 20;
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum End {
+    Complete,
+    CallerLeft,
+    Deadline,
+    /// The upstream has ended it too early; with the reason for the log.
+    Broken(&'static str),
+}
+
+/// What a run has brought.
+pub(super) enum Progress {
+    /// Complete events, at least one.
+    Events(Vec<Event>),
+    /// No event came for too long; the run may still go on.
+    Silent,
+    /// The run has ended.
+    Ended(End),
+}
+
+/// Run of a stream by one target; dropping it closes the connection, which makes the target stop.
+pub(super) struct Run {
+    pub(super) body: Incoming,
+    pub(super) framing: Framing,
+    connection: Connection,
+    send: Send,
+    splitter: Splitter,
+    /// Whether the caller had events from earlier runs when this one started.
+    is_continuation: bool,
+    /// Whether this run has delivered an event.
+    is_streaming: bool,
+    late_bytes: usize,
+}
+
+impl Run {
+    /// Run whose answer has this head; `events` is the number of events that the caller has.
+    pub(super) fn new(response: Response<Incoming>, connection: Connection, send: Send, events: u64) -> Self {
+        Run {
+            framing: Framing::of(&response),
+            body: response.into_body(),
+            connection,
+            send,
+            splitter: Splitter::default(),
+            is_continuation: events > 0,
+            is_streaming: false,
+            late_bytes: 0,
+        }
+    }
+
+    /// Identifier of the target.
+    pub(super) fn target(&self) -> &str {
+        &self.send.target.id
+    }
+
+    /// Bytes after the last complete event.
+    pub(super) fn remainder(&self) -> &[u8] {
+        self.splitter.remainder()
+    }
+
+    /// Handles the next frame of the body, or its end; returns none if the frame completes no event.
+    pub(super) fn receive(
+        &mut self,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+        deadline: Duration,
+    ) -> Option<Progress> {
+        let bytes = match frame {
+            None => return Some(Progress::Ended(self.end_of_body())),
+            Some(Err(_)) => return Some(Progress::Ended(End::Broken("connection lost"))),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        let now = clock::now();
+        // Bytes that are ready are passed on late, too, but not without end.
+        if now >= deadline {
+            self.late_bytes += bytes.len();
+        }
+        if self.late_bytes > MAX_LATE_BYTES {
+            return Some(Progress::Ended(End::Deadline));
+        }
+        let events = self.splitter.push(&bytes);
+        if events.is_empty() {
+            let is_oversized = self.splitter.is_oversized();
+            return is_oversized.then_some(Progress::Ended(End::Broken("event too large")));
+        }
+        let is_first = !self.is_streaming;
+        self.is_streaming = true;
+        let context = &self.send.context;
+        context
+            .balancer()
+            .record_event(now, &self.send.target.id, is_first);
+        context.metrics.events.inc_by(events.len() as u64);
+        Some(Progress::Events(events))
+    }
+
+    /// End of a run whose body has ended without an error.
+    ///
+    /// The end of a connection also ends a body without framing, so only the events show whether it is whole.
+    fn end_of_body(&self) -> End {
+        let is_empty = !self.is_continuation && !self.is_streaming;
+        if (is_empty && self.framing == Framing::Connection) || self.splitter.is_inside_event() {
+            return End::Broken("ended inside an event");
+        }
+        End::Complete
+    }
+
+    /// Ends a run that is complete, and keeps its connection for further requests.
+    pub(super) fn complete(self) {
+        self.end_stream();
+        self.send.context.upstreams.return_connection(self.connection);
+        self.send.end(Outcome::Answered);
+    }
+
+    /// Ends a run that is not complete, and closes its connection.
+    pub(super) fn abandon(self, outcome: Outcome) {
+        self.end_stream();
+        drop(self.connection);
+        self.send.end(outcome);
+    }
+
+    fn end_stream(&self) {
+        if self.is_streaming {
+            self.send.context.balancer().end_stream(&self.send.target.id);
+        }
+    }
+}
