gateway: a late answer is given up only for another one

The same cause as in the relay of streams, before the head of an answer: a repeatable request whose upstream had not answered within four latency objectives (1.2 s at least) lost its send first, and then looked for another target. Without retry budget, room or a target that takes it, the caller got 502 although its upstream would have answered.

Now the first send goes on. A second one starts when the route, the budget and a free target allow it, and the first head that is an answer counts; the other send ends then, and counts as one that may have run. The late target gets no new requests for a while, as before. Requests that may run once only were not affected: they have all of their time.

Two tests of tests/silence.rs failed before (502 in place of 200) and pass now; the third, that a request leaves an upstream that stays silent, passes before and after. The server error of an upstream is now passed on also when a later send brings no answer.

--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -256,6 +256,17 @@
         }
     }
 
+    /// Records that an answer of target `id` is late, and ejects the target unless it is ejected already.
+    pub fn record_silence(&mut self, now: Duration, id: &str) {
+        let Some(tracker) = self.trackers.get_mut(id) else {
+            return;
+        };
+        tracker.has_failed = true;
+        if tracker.ejected_until <= now {
+            self.eject(now, id);
+        }
+    }
+
     /// Records the end of a send and ejects the target if `outcome` calls for it.
     pub fn finish_send(&mut self, now: Duration, id: &str, outcome: Outcome) {
         let Some(tracker) = self.trackers.get_mut(id) else {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -2,6 +2,7 @@
 //!
 //! A request here is one attempt of its caller (`x-attempt-id`), which may be sent several times.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,13 +12,14 @@
 use tokio::time::timeout;
 
 use super::answer;
+use super::attempt;
+use super::attempt::Head;
 use super::context::Context;
 use super::request::Request;
 use super::request::strip_hop_by_hop;
 use super::send::Classification;
 use super::send::Send;
 use super::send::classify;
-use super::send::upstream_request;
 use super::stream;
 use crate::adapters::clock;
 use crate::adapters::http1::Body;
@@ -25,7 +27,6 @@
 use crate::adapters::http1::Failure;
 use crate::adapters::http1::Incomplete;
 use crate::adapters::http1::collect;
-use crate::domain::catalog::Repeat;
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Target;
 use crate::domain::gateway::Admission;
@@ -40,11 +41,12 @@
 
 /// Number of sends that no target executed after which the request is not sent again.
 const MAX_UNEXECUTED_SENDS: usize = 3;
-/// Time limit for an answer's head while another send is possible, as a multiple of the route's
-/// latency objective.
+/// Time after which an answer's head counts as late, as a multiple of the route's latency objective.
 const HEAD_TIMEOUT_GOALS: u32 = 4;
-/// Lower bound of the time limit for an answer's head while another send is possible.
+/// Lower bound of the time after which an answer's head counts as late.
 const MIN_HEAD_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Interval at which another target is looked for while an answer is late.
+const SECOND_SEND_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest time to the deadline for which a send is worth the work that it causes.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -106,6 +108,8 @@
     runs: u32,
     /// Sends that no target executed.
     unexecuted: usize,
+    /// Server error with which an upstream has answered.
+    upstream_failure: Option<Response<Body>>,
 }
 
 impl<'a> Dispatch<'a> {
@@ -117,24 +121,24 @@
             tried: Vec::new(),
             runs: 0,
             unexecuted: 0,
+            upstream_failure: None,
         }
     }
 
     async fn run(&mut self) -> Response<Body> {
-        let mut upstream_failure = None;
         loop {
             if clock::now() + MIN_TIME_LEFT >= self.request.deadline {
-                return self.give_up(upstream_failure, StatusCode::GATEWAY_TIMEOUT, "deadline");
+                return self.give_up(StatusCode::GATEWAY_TIMEOUT, "deadline");
             }
             let is_retry = !self.tried.is_empty();
             if is_retry && !self.may_send_again() {
-                return self.give_up(upstream_failure, StatusCode::BAD_GATEWAY, "no repeat left");
+                return self.give_up(StatusCode::BAD_GATEWAY, "no repeat left");
             }
             let target = match self.wait_for_target().await {
                 Ok(target) => target,
                 Err((reason, until_room)) => {
                     if self.runs > 0 {
-                        return self.give_up(upstream_failure, StatusCode::BAD_GATEWAY, reason);
+                        return self.give_up(StatusCode::BAD_GATEWAY, reason);
                     }
                     return self.refuse(reason, until_room);
                 }
@@ -151,11 +155,11 @@
                         send,
                     );
                 }
-                Delivery::NotRun => self.unexecuted += 1,
-                Delivery::Unknown(response) => {
-                    upstream_failure = response;
-                    if !self.request.is_repeatable() {
-                        return self.give_up(upstream_failure, StatusCode::BAD_GATEWAY, "unknown outcome");
+                failed @ (Delivery::NotRun | Delivery::Unknown(_)) => {
+                    let is_unknown = matches!(failed, Delivery::Unknown(_));
+                    self.record_failure(failed);
+                    if is_unknown && !self.request.is_repeatable() {
+                        return self.give_up(StatusCode::BAD_GATEWAY, "unknown outcome");
                     }
                 }
             }
@@ -185,16 +189,7 @@
         loop {
             // Created before the check, so that room signalled during it is not missed.
             let room_signal = self.context.room.notified();
-            let choice = self.context.balancer().choose(
-                clock::now(),
-                &Criteria {
-                    service: self.service,
-                    model: self.request.model.as_deref(),
-                    tried: &self.tried,
-                    reserve,
-                    draw: rand::random(),
-                },
-            );
+            let choice = self.choose(reserve);
             let waited = clock::now() - wait_start;
             match choice {
                 Choice::Send { target, load } => {
@@ -214,56 +209,138 @@
         }
     }
 
+    /// Chooses a target that leaves `reserve` slots free.
+    fn choose(&self, reserve: u32) -> Choice {
+        let criteria = Criteria {
+            service: self.service,
+            model: self.request.model.as_deref(),
+            tried: &self.tried,
+            reserve,
+            draw: rand::random(),
+        };
+        self.context.balancer().choose(clock::now(), &criteria)
+    }
+
+    /// Sends the request to a target and, once the answer is late, to another one, too.
+    ///
+    /// A target that is late may still answer, so its send goes on until the other one has led to an
+    /// answer.
     async fn send(&mut self, target: Target) -> Delivery {
-        self.tried.push(target.id.clone());
-        let Ok(address) = target.address.parse() else {
+        let Some(first) = self.start(target) else {
             return Delivery::NotRun;
         };
-        let time_left = self.request.deadline.saturating_sub(clock::now());
-        let Some(outgoing) = upstream_request(self.request, &target, time_left, None) else {
-            return Delivery::NotRun;
+        let mut first = pin!(first);
+        if !self.may_add_send() {
+            let (send, head) = first.await;
+            return self.read_head(send, head).await;
+        }
+        if let Ok((send, head)) = timeout(self.head_timeout(), &mut first).await {
+            return self.read_head(send, head).await;
+        }
+        self.record_silence();
+        loop {
+            let Some(second) = self.start_second() else {
+                match timeout(SECOND_SEND_INTERVAL, &mut first).await {
+                    Ok((send, head)) => return self.read_head(send, head).await,
+                    Err(_) => continue,
+                }
+            };
+            let mut second = pin!(second);
+            let (is_first, (send, head)) = tokio::select! {
+                sent = &mut first => (true, sent),
+                sent = &mut second => (false, sent),
+            };
+            match (self.read_head(send, head).await, is_first) {
+                (delivery @ (Delivery::Answer(_) | Delivery::Stream(..)), _) => {
+                    // The other send ends here; its target may have executed the request.
+                    self.runs += 1;
+                    return delivery;
+                }
+                (failed, true) => {
+                    self.record_failure(failed);
+                    let (send, head) = second.await;
+                    return self.read_head(send, head).await;
+                }
+                (failed, false) => self.record_failure(failed),
+            }
+        }
+    }
+
+    fn start(&mut self, target: Target) -> Option<impl Future<Output = (Send, Head)> + use<>> {
+        self.tried.push(target.id.clone());
+        attempt::start(self.context, self.request, self.service, target)
+    }
+
+    /// Whether the route allows another send beside the one in progress.
+    fn may_add_send(&self) -> bool {
+        self.request.is_repeatable() && self.runs + 1 < self.request.route.max_sends
+    }
+
+    /// Starts a send to a further target, beside one in progress, if limits allow it and a target has
+    /// room immediately.
+    fn start_second(&mut self) -> Option<impl Future<Output = (Send, Head)> + use<>> {
+        if !self.may_add_send() || clock::now() + MIN_TIME_LEFT >= self.request.deadline {
+            return None;
+        }
+        let Choice::Send { target, load } = self.choose(0) else {
+            return None;
         };
-        let send = Send::start(self.context, target, self.service);
-        // A reused connection may close while the request is under way. The outcome is then unknown, and
-        // this route does not allow another send.
-        let needs_new_connection = self.request.route.repeat == Repeat::Once;
-        let head_timeout = self.head_timeout(time_left);
-        let sent = timeout(
-            head_timeout,
-            self.context
-                .upstreams
-                .send(address, outgoing, needs_new_connection),
-        )
-        .await;
-        match sent {
-            Err(_) => {
+        if self.tried.contains(&target.id) || !self.may_send_again() {
+            return None;
+        }
+        self.log_request_sent(&target, load, Duration::ZERO);
+        self.start(target)
+    }
+
+    /// Records that the answer of the last send is late, so that its target gets no new requests for a while.
+    fn record_silence(&self) {
+        let Some(target) = self.tried.last() else {
+            return;
+        };
+        self.context.balancer().record_silence(clock::now(), target);
+        logging::SEND_FAILED.log_fields(&[
+            ("request", self.request.id.as_str().into()),
+            ("target", target.as_str().into()),
+            ("reason", "no answer in time".into()),
+            ("sends", (self.tried.len() as u64).into()),
+            ("after_ms", elapsed_ms(self.request).into()),
+        ]);
+    }
+
+    /// Keeps what a send that did not lead to an answer leaves behind.
+    fn record_failure(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::NotRun => self.unexecuted += 1,
+            Delivery::Unknown(response) => self.upstream_failure = response.or(self.upstream_failure.take()),
+            Delivery::Answer(_) | Delivery::Stream(..) => {}
+        }
+    }
+
+    /// Handles the head of an answer, or its absence.
+    async fn read_head(&mut self, send: Send, head: Head) -> Delivery {
+        match head {
+            Head::Arrived(response, connection) => self.read_response(response, connection, send).await,
+            Head::Late => {
                 self.runs += 1;
                 self.end_failed(send, Outcome::Stalled, "no answer in time");
                 Delivery::Unknown(None)
             }
-            Ok(Err(Failure::Unsent)) => {
+            Head::Failed(Failure::Unsent) => {
                 self.end_failed(send, Outcome::Failed, "no connection");
                 Delivery::NotRun
             }
-            Ok(Err(Failure::Unknown)) => {
+            Head::Failed(Failure::Unknown) => {
                 self.runs += 1;
                 self.end_failed(send, Outcome::Failed, "connection lost");
                 Delivery::Unknown(None)
             }
-            Ok(Ok((response, connection))) => self.read_response(response, connection, send).await,
         }
     }
 
-    /// Time limit for the head of an answer.
-    ///
-    /// The last possible send may take all the time left.
-    fn head_timeout(&self, time_left: Duration) -> Duration {
-        let route = &self.request.route;
-        if !self.request.is_repeatable() || self.runs + 1 >= route.max_sends {
-            return time_left;
-        }
-        let goal = Duration::from_millis(route.goal_ms);
-        time_left.min((goal * HEAD_TIMEOUT_GOALS).max(MIN_HEAD_TIMEOUT))
+    /// Time after which the head of an answer counts as late.
+    fn head_timeout(&self) -> Duration {
+        let goal = Duration::from_millis(self.request.route.goal_ms);
+        (goal * HEAD_TIMEOUT_GOALS).max(MIN_HEAD_TIMEOUT)
     }
 
     /// Classifies an answer's head, then reads its body unless it is an event stream.
@@ -352,13 +429,8 @@
 
     /// Final answer after the sends have failed: the upstream's error if there is one, else a refusal
     /// if no target executed the request, else `status` with `reason`.
-    fn give_up(
-        &self,
-        upstream_failure: Option<Response<Body>>,
-        status: StatusCode,
-        reason: &str,
-    ) -> Response<Body> {
-        if let Some(upstream_failure) = upstream_failure {
+    fn give_up(&mut self, status: StatusCode, reason: &str) -> Response<Body> {
+        if let Some(upstream_failure) = self.upstream_failure.take() {
             return upstream_failure;
         }
         if self.runs == 0 {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Gateway daemon: receives callers' requests and passes each one on to an upstream.
 
 mod answer;
+mod attempt;
 mod caller;
 mod context;
 mod dispatch;
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -2,6 +2,8 @@
 
 mod site;
 
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,6 +19,9 @@
 /// Longer than the 900 ms after which a stream with a gap of 300 ms counts as silent.
 const SILENCE: Duration = Duration::from_millis(1_300);
 
+/// Longer than the 2 s after which an answer to a request with a latency objective of 500 ms counts as late.
+const SLOW_HEAD: Duration = Duration::from_millis(2_600);
+
 /// Stream of ten events that pauses after the fourth one.
 fn stream_with_silence(head: &str) -> Vec<Step> {
     vec![
@@ -101,3 +106,53 @@
     // Callers leave after two seconds without an event.
     assert!(started.elapsed() < site_ready + Duration::from_secs(2));
 }
+
+/// Answers the first request after `SLOW_HEAD`, and refuses all others.
+fn slow_then_refused(requests: &AtomicUsize, head: &str, answer: String) -> Vec<Step> {
+    if requests.fetch_add(1, Ordering::Relaxed) > 0 {
+        return not_executed();
+    }
+    vec![
+        Step::Pause(SLOW_HEAD),
+        Step::Send(format!("{}{answer}", answer_head(head))),
+        Step::Close,
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_answer_is_not_given_up_when_no_upstream_takes_the_request_over() {
+    let script = |head: &str| {
+        static REQUESTS: AtomicUsize = AtomicUsize::new(0);
+        slow_then_refused(&REQUESTS, head, "content-length: 5\r\n\r\nwhole".to_owned())
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(176, script).await;
+    let (status, body) = send(&site, "/lookup/1").await.expect("an answer");
+    assert_eq!((status, body.as_ref()), (200, &b"whole"[..]));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_stream_is_not_given_up_when_no_upstream_takes_the_request_over() {
+    let script = |head: &str| {
+        static REQUESTS: AtomicUsize = AtomicUsize::new(0);
+        slow_then_refused(&REQUESTS, head, format!("\r\n{}", event_text(1, 10)))
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(177, script).await;
+    let (status, body) = send(&site, "/resumable/1").await.expect("an answer");
+    assert_eq!((status, events(&body)), (200, (1..=10).collect::<Vec<u64>>()));
+}
+
+/// An upstream that never answers must still be left in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_upstream_stays_silent_is_sent_to_another_one() {
+    let script = |head: &str| {
+        static REQUESTS: AtomicUsize = AtomicUsize::new(0);
+        if REQUESTS.fetch_add(1, Ordering::Relaxed) == 0 {
+            return vec![Step::Pause(Duration::from_secs(8))];
+        }
+        let text = format!("{}content-length: 5\r\n\r\nwhole", answer_head(head));
+        vec![Step::Send(text)]
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(178, script).await;
+    let (status, body) = send(&site, "/lookup/1").await.expect("an answer");
+    assert_eq!((status, body.as_ref()), (200, &b"whole"[..]));
+}
