tests: the site of two desks waits until its gateway knows both

A heartbeat is acknowledged before the leader has committed that its VM is listed; beside builds that fill the disk a sync took 240 ms here, and sites did not even start.

The set-up now also waits for the gateway's number of targets; the checks are the same.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -269,7 +269,8 @@
         site.send_until("/orders/0", &[("authorization", bearer.as_str())], 200)
             .await;
         let is_settled = |vm: &Vm| vm.state.lock().unwrap().heartbeat_address == Some(site.status);
-        if vms.iter().all(is_settled) {
+        // A heartbeat is acknowledged before the leader has listed its VM.
+        if vms.iter().all(is_settled) && target_count(&site).await == vms.len() {
             return (site, vms, bearer);
         }
         assert!(
@@ -282,6 +283,15 @@
     }
 }
 
+/// Number of targets that the gateway knows.
+async fn target_count(site: &Site) -> usize {
+    let (_, text) = call(site.status, "GET", "/metrics", "", &[]).await.unwrap();
+    let text = String::from_utf8(text.to_vec()).unwrap();
+    let mut lines = text.lines();
+    let value = lines.find_map(|l| l.strip_prefix("heatherramp_gateway_targets "));
+    value.unwrap().parse().unwrap()
+}
+
 /// Sends requests one after the other; returns how many of them succeeded.
 async fn send_orders(site: &Site, bearer: &str, count: usize) -> usize {
     let mut served = 0;
