fleet: a head that is silent and goes on keeps its answers

Cause: 1.5 s after its last heartbeat (1.25 intervals, when gateways report its streams as stalled) a silent head counts as lost. All members are then ordered to leave at once, although the head may be paused and go on: the order that waits for it, or the missing members, cut its answers in progress. A pause of 1.1 s at the wrong time suffices.

Change: the shorter limit still closes the group to new requests. Until the head has been silent for vm_silence_limit (3 s) it is ordered to finish its requests (close), and no member is ordered to leave. head_stop_time counts from the order to leave. No timing constant changes.

Cost: the members of a group whose head really is lost are free 7.53 s after its last heartbeat instead of 6.02 s. The loss of another member is handled as before (dissolved after 1.53 s).

--- a/src/domain/fleet/lifecycle.rs
+++ b/src/domain/fleet/lifecycle.rs
@@ -4,6 +4,9 @@
 //! closed: the head is ordered to leave, and the members can be claimed by another group only when
 //! the head certainly accepts no more requests. A head that cannot be reached counts as open for
 //! [`Timing::head_stop_time`]: by then the other members have left, and it refuses requests by itself.
+//!
+//! A silent head may be sound and go on with its answers. Until it has been silent for
+//! [`Timing::vm_silence_limit`], it is ordered to finish them, and no member is ordered to leave.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -51,6 +54,8 @@
     pub(super) may_have_opened: bool,
     /// Why and since when the group is being closed.
     pub(super) closing: Option<(Loss, Duration)>,
+    /// Since when the members of a closing group are ordered to leave.
+    leaving_since: Option<Duration>,
     /// Time of the last order to each member, by VM.
     last_sent: BTreeMap<String, Duration>,
 }
@@ -93,6 +98,7 @@
             may_have_opened: group.opened || is_restored,
             // The reason is not replicated. With `Left` all members are ordered to leave.
             closing: group.closing.then_some((Loss::Left, now)),
+            leaving_since: None,
             last_sent: BTreeMap::new(),
         }
     }
@@ -152,8 +158,9 @@
         }
     }
 
-    /// Orders the head and all other members to leave. If a member drains, the head is ordered to
-    /// finish its requests first, and the others get no order before the group is dissolved.
+    /// Orders the head and all other members to leave. If a member drains, or is silent and may go on,
+    /// the head is ordered to finish its requests first, and the others get no order before the group
+    /// is dissolved.
     fn advance_closing(
         &mut self,
         group: &Group,
@@ -162,14 +169,19 @@
         since: Duration,
         out: &mut Vec<Effect>,
     ) {
-        if self.is_head_stopped(group, view, since) {
+        if self.leaving_since.is_none() && self.must_leave(group, view, loss) {
+            self.leaving_since = Some(view.now);
+            self.last_sent.clear();
+        }
+        if self.is_head_stopped(group, view, loss, since) {
             out.push(Effect::Dissolve);
             return;
         }
-        let graceful = loss == Loss::Draining;
+        let graceful = self.leaving_since.is_none();
         match reported_stage(group, group.head(), view) {
             Some(Stage::Open) if graceful => self.send(group, group.head(), Task::Close, view, out),
-            Some(Stage::Closing) if graceful => {}
+            // A head without a report may still serve, and one that reports no group needs no order.
+            Some(Stage::Closing) | None if graceful => {}
             _ => self.send(group, group.head(), Task::Leave, view, out),
         }
         // When its members leave, a head that cannot be reached refuses requests by itself.
@@ -182,17 +194,46 @@
         }
     }
 
+    /// Whether the members of a closing group are to leave although answers may be in progress.
+    fn must_leave(&self, group: &Group, view: &View, loss: Loss) -> bool {
+        match loss {
+            Loss::Draining => false,
+            Loss::Silent => {
+                // The shorter limit for stalled groups closes a group to new requests, but does not
+                // show that its head is lost.
+                let patient = View {
+                    head_stalled: false,
+                    ..*view
+                };
+                let mut members = group.members.iter().enumerate();
+                members.any(|(rank, member)| {
+                    let view = if rank == 0 { &patient } else { view };
+                    let loss = member_loss(group, member, self.opened, view);
+                    loss.is_some_and(|l| l != Loss::Draining)
+                })
+            }
+            _ => true,
+        }
+    }
+
     /// Whether the head certainly accepts no more requests.
     ///
     /// It was never ordered to open, has restarted, has reported after `since` that it is broken or
-    /// has left, or cannot be reached and [`Timing::head_stop_time`] has passed since then.
-    fn is_head_stopped(&self, group: &Group, view: &View, since: Duration) -> bool {
+    /// has left, or cannot be reached and [`Timing::head_stop_time`] has passed since the order to the
+    /// members to leave.
+    fn is_head_stopped(&self, group: &Group, view: &View, loss: Loss, since: Duration) -> bool {
         if !self.may_have_opened {
             return true;
         }
         let head = group.head();
+        let stop_since = if loss == Loss::Draining {
+            Some(since)
+        } else {
+            self.leaving_since
+        };
+        let is_stop_time_over = stop_since.is_some_and(|at| view.now > at + view.timing.head_stop_time());
         let Some(vm) = view.registry.get(&head.id) else {
-            return view.now > since + view.timing.head_stop_time();
+            return is_stop_time_over;
         };
         if vm.announcement.incarnation > head.incarnation {
             return true;
@@ -202,7 +243,7 @@
             return true;
         }
         let is_silent = vm.gone || view.now > vm.last_heartbeat + view.timing.vm_silence_limit();
-        is_silent && view.now > since + view.timing.head_stop_time()
+        is_silent && is_stop_time_over
     }
 
     /// Sends an order to a member, unless the last order to it is too recent.
--- /dev/null
+++ b/tests/pauses.rs
@@ -0,0 +1,63 @@
+//! A VM that falls silent and goes on: the answers in progress at its group must not be cut.
+
+mod paused;
+
+use std::time::Duration;
+
+use heatherramp::domain::fleet::Timing;
+
+use paused::HEARTBEAT_MS;
+use paused::System;
+
+/// Number of pauses of a VM, over all phases between two heartbeats.
+#[derive(Debug, Default)]
+struct Counts {
+    /// Pauses after which the group was closed.
+    closed: usize,
+    /// Pauses after which a VM left before the answers were complete.
+    cut: usize,
+}
+
+fn count_pauses(pauses_head: bool, length: u64) -> Counts {
+    let mut counts = Counts::default();
+    for phase in (0..HEARTBEAT_MS).step_by(100) {
+        let mut system = System::with_open_group();
+        let head = system.head();
+        let vm = if pauses_head { head } else { 1 - head };
+        system.pause(vm, phase, length);
+        system.advance_to(system.answers_end + 100);
+        counts.closed += usize::from(system.lost_at.is_some());
+        counts.cut += usize::from(system.is_cut);
+    }
+    counts
+}
+
+#[test]
+fn answers_at_a_head_that_is_silent_for_up_to_a_second_and_a_half_are_not_cut() {
+    for length in [1_000, 1_250, 1_500] {
+        let counts = count_pauses(true, length);
+        assert_eq!(counts.cut, 0, "pause of {length} ms: {counts:?}");
+    }
+    let counts = count_pauses(true, 1_500);
+    assert!(counts.closed > 0, "no pause has closed the group: {counts:?}");
+}
+
+#[test]
+fn the_group_of_a_lost_vm_is_dissolved_in_time() {
+    let timing = Timing::default();
+    let longest = timing.vm_silence_limit() + timing.head_stop_time() + Duration::from_millis(100);
+    for is_head in [true, false] {
+        let mut system = System::with_open_group();
+        let head = system.head();
+        let vm = if is_head { head } else { 1 - head };
+        system.pause(vm, 300, 60_000);
+        let last_heartbeat_at = system.vms[vm].last_heartbeat_at;
+        system.advance_to(system.now + 20_000);
+        let after = |at: Option<u64>| at.expect("closed and dissolved") - last_heartbeat_at;
+        let dissolved_after = after(system.dissolved_at);
+        assert!(
+            dissolved_after <= longest.as_millis() as u64,
+            "head {is_head}: {dissolved_after} ms"
+        );
+    }
+}
