http1: a connection whose handler panics is not counted as open for ever

Cause: the count of open connections fell only after serve_connection returned. A panic of a handler ends the connection's task before that, so a gateway that shuts down later waits for its whole grace period.

Change: a guard counts the connection until it is dropped. The caller's connection is closed without an answer, as before.

--- a/src/adapters/http1/server.rs
+++ b/src/adapters/http1/server.rs
@@ -55,6 +55,22 @@
     }
 }
 
+/// Guard that counts one connection as open until it is dropped, also by a panic of its handler.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl OpenConnection {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(count.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Serves `address` with `handler`, on the current runtime.
 ///
 /// `head_bytes` limits the buffer of a request head, with a minimum of 8 KiB. A connection that
@@ -89,9 +105,8 @@
             set_tcp_options(&stream);
             let (server, handler) = (server_handle.clone(), handler.clone());
             tokio::spawn(async move {
-                server.open_connections.fetch_add(1, Ordering::Relaxed);
+                let _open_connection = OpenConnection::new(&server.open_connections);
                 serve_connection(stream, &server, head_bytes, head_timeout, handler).await;
-                server.open_connections.fetch_sub(1, Ordering::Relaxed);
             });
         }
     });
