entry: the last attempt of a call is not ended by a silence

Cause: an upstream that is silent for stall_ms is taken for failed and its connection closed, also in the attempt that no other can follow (the fourth, or from the second on without retry budget). The caller's answer ends as stream_broken although the upstream goes on.

Change: such an attempt has the whole time of the call, request_ms, as calls that are non-repeatable have already. Budget::has_retry tells whether another attempt may follow.

Measured: an_answer_is_complete_when_every_engine_pauses_and_goes_on (engine pauses 1.5 s, stall_ms 1 s) failed three of three before ("the upstream has been silent for too long"), passed three of three after, and once more with the whole of tests/answers.rs (6 passed) and tests/dispatch.rs (13 passed). tests/shutdown.rs failed twice with this change and once without it, each time before its first call ("no control process answered the change", load average 14.8); so it shows nothing here.

Left: earlier attempts still close the connection of a silent upstream before another replica is found.

Cost: if the upstream of the last attempt never answers while its connection holds, the caller learns it at the call's time limit, by default after 120 s instead of 5 s, and the slot is taken until then.

--- a/src/domain/dispatch/budget.rs
+++ b/src/domain/dispatch/budget.rs
@@ -31,9 +31,14 @@
         self.balance = (self.balance + DEPOSIT_PER_CALL).min(MAX_BALANCE);
     }
 
+    /// Whether a retry is left.
+    pub fn has_retry(&self) -> bool {
+        self.balance >= 1.0
+    }
+
     /// Takes one retry; false when less than one is left.
     pub fn try_withdraw(&mut self) -> bool {
-        if self.balance < 1.0 {
+        if !self.has_retry() {
             return false;
         }
         self.balance -= 1.0;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -154,6 +154,7 @@
                 }
                 return Some(self.ending_without_owner());
             };
+            self.set_stall_limit();
             let outcome = match timeout(self.time_left(), self.run_attempt(&owner)).await {
                 Ok(outcome) => outcome,
                 Err(_) => Outcome::Failed("the call took longer than its limit".to_owned()),
@@ -177,6 +178,19 @@
         }
     }
 
+    /// Sets the silence after which the next attempt counts as failed. A silent upstream may go on, so
+    /// an attempt that no other can follow has the whole time of the call.
+    fn set_stall_limit(&mut self) {
+        let next = self.failed_attempts + 1;
+        let is_last = next >= MAX_FAILED_ATTEMPTS || (next > 1 && !self.with_budget(|b| b.has_retry()));
+        let limits = &self.job.caller.document.limits;
+        self.job.forward.stall_ms = if is_last {
+            limits.request_ms
+        } else {
+            limits.stall_ms
+        };
+    }
+
     /// Records a failed attempt and prepares the next one, under an identity of its own; returns
     /// the ending when none may follow.
     fn after_failure(&mut self, owner: &str, reason: String) -> Option<Ending> {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -193,3 +193,27 @@
     assert_complete_answers(&cluster, 30, async {}).await;
     assert_eq!(cluster.counts("north-vm0").await["arrived"], arrived_before);
 }
+
+/// Every engine pauses once within an answer, for longer than `stall_ms`, and goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_complete_when_every_engine_pauses_and_goes_on() {
+    let zones = ["north"];
+    let cluster = Cluster::start("pauses", (1, 1), &zones, |_, upstreams| {
+        upstreams.vms = vms(&zones, 1);
+        upstreams.cold_calls = 0;
+        upstreams.token_ms = 20;
+    })
+    .await;
+    cluster.submit_and_promote(&engine_document(&zones, 1, 1)).await;
+    cluster.wait_until_served().await;
+    cluster.inject_fault("north-vm0", Fault::Late).await;
+    let prompt = "pauses";
+    let answer = common::chat(&cluster.http(), &cluster.entry_address("e1"), prompt, 40, true).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(
+        streamed_text(&answer),
+        Some(expected_text(prompt, 40)),
+        "{}",
+        answer.text
+    );
+}
