tests: an answer whose producer panics must not look complete (known red)

Cause: `Body::Stream` takes the end of its channel for the end of the answer. A relay task that panics drops its sender, so hyper writes the last chunk and the caller takes a part for the whole.

No panic of the gateway's relay was seen.

--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -68,6 +68,22 @@
     assert!(text.contains("two") && text.ends_with("\r\n0\r\n\r\n"), "{text}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_producer_panics_is_not_complete() {
+    let server = serve(|_| async {
+        let (sender, receiver) = mpsc::channel(1);
+        tokio::spawn(async move {
+            let _ = sender.send(Ok(Bytes::from("a part"))).await;
+            panic!("of the producer, by the test");
+        });
+        Response::new(Body::Stream(receiver))
+    })
+    .await;
+    let text = call(&server).await;
+    assert!(text.contains("a part"), "{text}");
+    assert!(!text.ends_with("\r\n0\r\n\r\n"), "looks complete: {text}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_connection_whose_handler_panics_is_not_counted_as_open() {
     let server = serve(|_| async { panic!("of the handler, by the test") }).await;
