tests: a group is dissolved when a member is silent for a second or so (known red)

The mending that was tried delays the repair of groups that really have lost a member; see KNOWN-RED.txt.

--- a/tests/pauses.rs
+++ b/tests/pauses.rs
@@ -42,6 +42,14 @@
     assert!(counts.closed > 0, "no pause has closed the group: {counts:?}");
 }
 
+#[test]
+fn answers_of_a_group_whose_member_is_silent_for_up_to_a_second_and_a_half_are_not_cut() {
+    for length in [1_000, 1_250, 1_500] {
+        let counts = count_pauses(false, length);
+        assert_eq!(counts.cut, 0, "pause of {length} ms: {counts:?}");
+    }
+}
+
 #[test]
 fn the_group_of_a_lost_vm_is_dissolved_in_time() {
     let timing = Timing::default();
