tests: a prompt part that crashes upstreams, at two gateways

Cause: nothing in the gateways connects the crashes that requests with a common prompt part bring about. Change: a raw upstream that crashes on a part or on demand and starts again as a new incarnation or under a new identifier; a second gateway for test sites; two tests.

--- /dev/null
+++ b/tests/quarantine_gateway.rs
@@ -0,0 +1,284 @@
+//! Prompt parts that crash upstreams, at gateways and controllers as processes.
+
+mod site;
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use tokio::task::JoinSet;
+
+use site::ACCOUNT_KEY;
+use site::STATE_TIMEOUT;
+use site::Site;
+use site::crash::Upstream;
+use site::exchange;
+use site::raw::document_with_plain_routes;
+
+const UPSTREAMS: usize = 6;
+/// Part that all prompts begin with.
+const FIRST_PART: &str = "5c1e07a2";
+/// Part that many sound prompts share.
+const SECOND_PART: &str = "91bd3f06";
+/// Part that crashes each upstream.
+const BAD_PART: &str = "e4402b7d";
+/// Reason of a refusal for a prompt part.
+const REASON: &str = "a prompt part is in quarantine";
+/// Pause between sound requests at one gateway.
+const SOUND_PAUSE: Duration = Duration::from_millis(80);
+/// Pause between requests with the bad part at one gateway.
+const BAD_PAUSE: Duration = Duration::from_millis(600);
+/// Times that a caller sends a sound request that is not answered with 200.
+const MAX_ATTEMPTS: usize = 4;
+/// Pause between two attempts of a caller.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(300);
+
+/// Site with two gateways and upstreams that crash on [`BAD_PART`].
+async fn site_with_crashing_upstreams(number: u8) -> (Site, [SocketAddr; 2], Vec<Upstream>) {
+    let mut site = Site::start(number);
+    let gateways = [site.gateway, site.add_gateway("g2")];
+    let upstreams: Vec<Upstream> = (0..UPSTREAMS)
+        .map(|i| {
+            let ip = IpAddr::from([127, 0, number, 10 + i as u8]);
+            let controllers = site.controllers.clone();
+            Upstream::start(&format!("desk{i}"), ip, BAD_PART, i % 2 == 1, controllers)
+        })
+        .collect();
+    site.call_controllers("PUT", "/configuration", &document_with_plain_routes())
+        .await
+        .unwrap();
+    let started = Instant::now();
+    let is_reached = |u: &Upstream| !u.requests.lock().unwrap().is_empty();
+    for gateway in gateways {
+        while status(&send(gateway, &[FIRST_PART]).await) != Some(StatusCode::OK) {
+            assert!(started.elapsed() < STATE_TIMEOUT, "a gateway serves nothing");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    while !upstreams.iter().all(is_reached) {
+        assert!(started.elapsed() < STATE_TIMEOUT, "an upstream gets no request");
+        let (parts, count) = ([FIRST_PART], UPSTREAMS * 2);
+        let sends = (0..count).map(|i| tokio::spawn(async move { send(gateways[i % 2], &parts).await }));
+        for send in sends.collect::<Vec<_>>() {
+            send.await.unwrap();
+        }
+    }
+    (site, gateways, upstreams)
+}
+
+/// Sends a request with these parts and a last one of its own.
+async fn send(gateway: SocketAddr, parts: &[&str]) -> Option<Response<Bytes>> {
+    static REQUESTS: AtomicU64 = AtomicU64::new(0);
+    let number = REQUESTS.fetch_add(1, Ordering::Relaxed);
+    let shared: String = parts.iter().map(|p| format!("{p}:400,")).collect();
+    let prompt_parts = format!("{shared}{:08x}:250", 0x1000_0000 + number);
+    let (id, key) = (format!("a{number}"), format!("Bearer {ACCOUNT_KEY}"));
+    let headers = [
+        ("authorization", key.as_str()),
+        ("x-attempt-id", id.as_str()),
+        ("x-deadline-ms", "3000"),
+        ("x-prefix-hash", prompt_parts.as_str()),
+    ];
+    exchange(
+        gateway,
+        "POST",
+        &format!("/resumable/{number}"),
+        "prompt",
+        &headers,
+    )
+    .await
+}
+
+/// Answers to the attempts of one request, and when the first attempt was sent.
+struct Call {
+    sent_at: Instant,
+    answers: Vec<Option<Response<Bytes>>>,
+}
+
+impl Call {
+    fn is_answered(&self) -> bool {
+        self.answers.last().and_then(status) == Some(StatusCode::OK)
+    }
+}
+
+fn status(answer: &Option<Response<Bytes>>) -> Option<StatusCode> {
+    answer.as_ref().map(Response::status)
+}
+
+fn is_refused_for_part(answer: &Option<Response<Bytes>>) -> bool {
+    answer.as_ref().is_some_and(|a| {
+        a.status() == StatusCode::SERVICE_UNAVAILABLE && a.body().starts_with(REASON.as_bytes())
+    })
+}
+
+/// Sends a sound request until it is answered.
+async fn call_until_answered(gateway: SocketAddr, parts: &[&str]) -> Call {
+    let sent_at = Instant::now();
+    let mut answers = Vec::new();
+    while answers.len() < MAX_ATTEMPTS {
+        let answer = send(gateway, parts).await;
+        let is_answered = status(&answer) == Some(StatusCode::OK);
+        answers.push(answer);
+        if is_answered {
+            break;
+        }
+        tokio::time::sleep(ATTEMPT_PAUSE).await;
+    }
+    Call { sent_at, answers }
+}
+
+/// Sends sound requests at one gateway for some time, each second one with the second part.
+async fn send_sound(gateway: SocketAddr, time: Duration) -> Vec<Call> {
+    let started = Instant::now();
+    let mut calls = JoinSet::new();
+    while started.elapsed() < time {
+        let parts: &[&str] = match calls.len() % 2 {
+            0 => &[FIRST_PART, SECOND_PART],
+            _ => &[FIRST_PART],
+        };
+        calls.spawn(call_until_answered(gateway, parts));
+        tokio::time::sleep(SOUND_PAUSE).await;
+    }
+    calls.join_all().await
+}
+
+/// Sends requests with the bad part at one gateway for some time, each with one attempt.
+async fn send_bad(gateway: SocketAddr, delay: Duration, time: Duration) -> Vec<Call> {
+    tokio::time::sleep(delay).await;
+    let started = Instant::now();
+    let mut calls = JoinSet::new();
+    while started.elapsed() < time {
+        calls.spawn(async move {
+            let sent_at = Instant::now();
+            let answers = vec![send(gateway, &[FIRST_PART, BAD_PART]).await];
+            Call { sent_at, answers }
+        });
+        tokio::time::sleep(BAD_PAUSE).await;
+    }
+    calls.join_all().await
+}
+
+/// Times of all crashes, in order.
+fn crash_times(upstreams: &[Upstream]) -> Vec<Instant> {
+    let times = upstreams.iter().flat_map(|u| u.crashes.lock().unwrap().clone());
+    let mut times: Vec<Instant> = times.collect();
+    times.sort();
+    times
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_prompt_part_that_crashes_upstreams_is_refused_after_a_few_crashes() {
+    let (_site, gateways, upstreams) = site_with_crashing_upstreams(181).await;
+    let time = Duration::from_secs(12);
+    let [first, second] = gateways;
+    let (mut sound, more_sound, mut bad, more_bad) = tokio::join!(
+        send_sound(first, time),
+        send_sound(second, time),
+        send_bad(first, Duration::ZERO, time),
+        send_bad(second, BAD_PAUSE / 2, time),
+    );
+    sound.extend(more_sound);
+    bad.extend(more_bad);
+
+    let crashes = crash_times(&upstreams);
+    assert!(crashes.len() >= 5, "{} crashes only", crashes.len());
+    let is_late = |at: Instant, ms: u64| at > crashes[4] + Duration::from_millis(ms);
+    let requests: Vec<_> = upstreams
+        .iter()
+        .flat_map(|u| u.requests.lock().unwrap().clone())
+        .collect();
+    let bad_arrivals = |ms: u64| {
+        let is_bad_and_late = |(at, parts): &&(Instant, String)| parts.contains(BAD_PART) && is_late(*at, ms);
+        requests.iter().filter(is_bad_and_late).count()
+    };
+    let late_sound: Vec<&Call> = sound.iter().filter(|c| is_late(c.sent_at, 6_000)).collect();
+    let late_bad: Vec<&Call> = bad.iter().filter(|c| is_late(c.sent_at, 6_000)).collect();
+    let answered = late_sound.iter().filter(|c| c.is_answered()).count();
+    let at_once = late_sound
+        .iter()
+        .filter(|c| c.is_answered() && c.answers.len() == 1)
+        .count();
+    let refused = late_bad.iter().filter(|c| is_refused_for_part(&c.answers[0]));
+    println!(
+        "{} crashes; with the bad part {} requests reached upstreams 3 s after the fifth and {} 6 s after it; \
+         {} of {} late ones refused; late sound requests: {answered} of {} answered, {at_once} at once",
+        crashes.len(),
+        bad_arrivals(3_000),
+        bad_arrivals(6_000),
+        refused.clone().count(),
+        late_bad.len(),
+        late_sound.len(),
+    );
+    assert!(
+        !late_sound.is_empty() && !late_bad.is_empty(),
+        "the test ended early"
+    );
+    assert!(
+        bad_arrivals(3_000) <= 3,
+        "{} requests with the bad part reached upstreams later than 3 s after the fifth crash",
+        bad_arrivals(3_000)
+    );
+    assert_eq!(bad_arrivals(6_000), 0, "the bad part still reaches upstreams");
+    assert_eq!(
+        refused.count(),
+        late_bad.len(),
+        "a request with the bad part was not refused for it"
+    );
+    let has_retry_after = |c: &&&Call| {
+        c.answers[0]
+            .as_ref()
+            .unwrap()
+            .headers()
+            .contains_key("retry-after")
+    };
+    assert_eq!(
+        late_bad.iter().filter(has_retry_after).count(),
+        late_bad.len(),
+        "a refusal without retry-after"
+    );
+    assert_eq!(answered, late_sound.len(), "a sound request was not answered");
+    assert!(at_once * 2 >= late_sound.len(), "sound requests needed retries");
+    let is_condemned = |c: &&Call| c.answers.iter().any(is_refused_for_part);
+    assert_eq!(
+        sound.iter().filter(is_condemned).count(),
+        0,
+        "sound requests were refused for their parts"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ordinary_crashes_condemn_no_prompt_part() {
+    let (_site, gateways, upstreams) = site_with_crashing_upstreams(182).await;
+    let time = Duration::from_secs(9);
+    let crash = async {
+        let started = Instant::now();
+        for upstream in upstreams.iter().cycle() {
+            if started.elapsed() > time {
+                return;
+            }
+            upstream.crash();
+            tokio::time::sleep(Duration::from_millis(350)).await;
+        }
+    };
+    let [first, second] = gateways;
+    let (mut sound, more_sound, ()) = tokio::join!(send_sound(first, time), send_sound(second, time), crash);
+    sound.extend(more_sound);
+
+    let crashes = crash_times(&upstreams).len();
+    let is_condemned = |c: &&Call| c.answers.iter().any(is_refused_for_part);
+    let condemned = sound.iter().filter(is_condemned).count();
+    let answered = sound.iter().filter(|c| c.is_answered()).count();
+    println!(
+        "{crashes} crashes; {answered} of {} answered, {condemned} refused for their parts",
+        sound.len()
+    );
+    assert!(crashes >= 20, "{crashes} crashes only");
+    assert!(answered * 2 > sound.len(), "most requests were not answered");
+    assert_eq!(condemned, 0);
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -4,6 +4,7 @@
 //! reader of the log does not delay requests.
 #![allow(dead_code)]
 
+pub mod crash;
 pub mod raw;
 mod vm;
 
@@ -20,6 +21,7 @@
 use heatherramp::adapters::http1;
 use heatherramp::adapters::quic;
 use http::Request;
+use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use serde_json::Value;
@@ -40,6 +42,18 @@
     body: &str,
     headers: &[(&str, &str)],
 ) -> Option<(u16, Bytes)> {
+    let response = exchange(address, method, path, body, headers).await?;
+    Some((response.status().as_u16(), response.into_body()))
+}
+
+/// Sends one request on a new connection; returns the whole answer, or none on failure.
+pub async fn exchange(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    headers: &[(&str, &str)],
+) -> Option<Response<Bytes>> {
     let mut request = Request::builder()
         .method(method)
         .uri(path)
@@ -54,9 +68,9 @@
         .await
         .ok()?
         .ok()?;
-    let status = response.status().as_u16();
-    let body = response.into_body().collect().await.ok()?;
-    Some((status, body.to_bytes()))
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.ok()?;
+    Some(Response::from_parts(head, body.to_bytes()))
 }
 
 /// Processes of one test; they are killed, and their files removed, when it is dropped.
@@ -67,6 +81,8 @@
     pub gateway: SocketAddr,
     /// Address of the gateway for readiness and metrics.
     pub status: SocketAddr,
+    /// Port of all controllers for gateways and other controllers.
+    peer_port: u16,
 }
 
 impl Drop for Site {
@@ -101,6 +117,7 @@
             controllers,
             gateway,
             status,
+            peer_port,
         };
         for index in 0..3 {
             let settings = site.fleet_settings(index, peer_port);
@@ -110,12 +127,28 @@
                 &settings,
             );
         }
+        site.spawn_gateway("g1", gateway, status);
+        site
+    }
+
+    /// Starts a further gateway; returns its address for callers.
+    pub fn add_gateway(&mut self, name: &str) -> SocketAddr {
+        let ip = self.gateway.ip();
+        let gateway = SocketAddr::new(ip, free_port(ip));
+        self.spawn_gateway(name, gateway, SocketAddr::new(ip, free_port(ip)));
+        gateway
+    }
+
+    fn spawn_gateway(&mut self, name: &str, listen: SocketAddr, status: SocketAddr) {
         let settings = json!({
-            "name": "g1", "availability_zone": "z1", "listen": gateway, "listen_status": status,
-            "seeds": site.controllers, "peer_port": peer_port, "keys": site.keys(), "grace_s": 4.0,
+            "name": name, "availability_zone": "z1", "listen": listen, "listen_status": status,
+            "seeds": self.controllers, "peer_port": self.peer_port, "keys": self.keys(), "grace_s": 4.0,
         });
-        site.spawn("gateway", env!("CARGO_BIN_EXE_heatherramp-gateway"), &settings);
-        site
+        self.spawn(
+            &format!("gateway-{name}"),
+            env!("CARGO_BIN_EXE_heatherramp-gateway"),
+            &settings,
+        );
     }
 
     pub fn keys(&self) -> Value {
--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -108,7 +108,7 @@
 }
 
 /// Reads one request with its body; returns its head in lower case.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let head_end = loop {
         if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
--- a/tests/site/vm.rs
+++ b/tests/site/vm.rs
@@ -26,6 +26,8 @@
     pub membership: Option<Value>,
     /// Number of the last heartbeat.
     pub sequence: u64,
+    /// Number of restarts of the VM's process, which its incarnation shows.
+    pub restarts: u64,
     /// Path and headers of each request received.
     pub requests: Vec<(String, HashMap<String, String>)>,
     /// Break the next stream off after this many events.
@@ -98,7 +100,7 @@
                 json!({
                     "service": self.service, "address": self.address.to_string(), "zone": "z1",
                     "version": "v1", "slots": 8, "phase": "ready", "cold-remaining-ms": 0,
-                    "sequence": state.sequence, "born": 1, "domain": "d1",
+                    "sequence": state.sequence, "born": state.restarts + 1, "domain": "d1",
                     "preloaded": ["model"], "group": state.membership,
                 })
             };
