--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -13,5 +13,6 @@
 pub mod gateway;
 pub mod membership;
 pub mod placement;
+pub mod quarantine;
 pub mod session;
 pub mod state;
--- /dev/null
+++ b/src/domain/quarantine/blame.rs
@@ -0,0 +1,258 @@
+//! The decision, at the leader: which part explains the crashes that all gateways have seen.
+//!
+//! An incident is the end of one process. A part counts in it if it was in a request in progress there and
+//! has not run soundly since. The part that counts in the most incidents explains them, and none of these
+//! counts against another part; so parts that only accompany a bad one are left with too few.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::report::Evidence;
+
+/// Incidents that a part must explain to be guilty.
+const GUILTY_INCIDENTS: usize = 3;
+/// Incidents of a part within this time of the first of them count once: one outage may end many
+/// processes at the same time.
+const OUTAGE_MS: i64 = 250;
+/// Time from the first report of a part's incidents until it can be guilty: gateways are asked first
+/// whether it has run soundly since.
+const INQUIRY_TIME: Duration = Duration::from_millis(500);
+/// Time for which incidents and sound runs count, in milliseconds.
+const EXPIRY_MS: i64 = 5 * 60 * 1_000;
+/// Incidents that are kept; the latest.
+const MAX_INCIDENTS: usize = 512;
+/// Parts that are kept of one incident.
+const MAX_INCIDENT_PARTS: usize = 64;
+/// Parts whose sound runs are kept; the latest.
+const MAX_SOUND_PARTS: usize = 4_096;
+/// Parts that gateways are asked about.
+const MAX_SUSPECTS: usize = 32;
+
+/// End of one process while requests were in progress there.
+#[derive(Clone, Debug)]
+struct Incident {
+    /// Earliest reported time. Like all times here in milliseconds of the leader's clock, below zero for
+    /// times before it started.
+    at: i64,
+    /// When the leader first heard of it.
+    heard_at: Duration,
+    /// Parts of the requests, each with its last place in their prompts.
+    parts: BTreeMap<String, usize>,
+}
+
+/// Part that may explain incidents.
+#[derive(Clone, Copy)]
+struct Candidate<'a> {
+    part: &'a str,
+    sound: Option<i64>,
+    /// Last place in a prompt.
+    place: usize,
+    /// Number of incidents, with those of one outage counted once.
+    count: usize,
+}
+
+/// Crashes and sound runs that gateways have reported.
+#[derive(Clone, Debug, Default)]
+pub struct Blame {
+    /// By target and incarnation.
+    incidents: BTreeMap<(String, u64), Incident>,
+    /// Time of the latest sound run by part.
+    sound: BTreeMap<String, i64>,
+}
+
+impl Blame {
+    /// Records evidence that has just arrived; returns whether the result of [`Blame::guilty`] may change.
+    pub fn record(&mut self, now: Duration, evidence: &Evidence) -> bool {
+        let mut is_new = false;
+        for crash in &evidence.crashes {
+            let at = time(now, crash.age_ms);
+            if at < time(now, EXPIRY_MS as u64) || crash.parts.is_empty() {
+                continue;
+            }
+            let key = (crash.target.clone(), crash.incarnation);
+            let incident = self.incidents.entry(key).or_insert_with(|| {
+                is_new = true;
+                Incident {
+                    at,
+                    heard_at: now,
+                    parts: BTreeMap::new(),
+                }
+            });
+            incident.at = at.min(incident.at);
+            incident.heard_at = now.min(incident.heard_at);
+            for (place, part) in crash.parts.iter().enumerate() {
+                if let Some(known) = incident.parts.get_mut(part) {
+                    *known = place.max(*known);
+                } else if incident.parts.len() < MAX_INCIDENT_PARTS {
+                    incident.parts.insert(part.clone(), place);
+                    is_new = true;
+                }
+            }
+        }
+        let latest_incident = self.incidents.values().map(|i| i.at).max();
+        for (part, age_ms) in &evidence.sound {
+            let at = time(now, *age_ms);
+            let known = self.sound.get(part).copied();
+            if known.is_none_or(|k| k < at) {
+                // A part that has run since the latest incident counts in none already.
+                is_new |= known.is_none_or(|k| Some(k) <= latest_incident);
+                self.sound.insert(part.clone(), at);
+            }
+        }
+        self.limit();
+        is_new
+    }
+
+    /// Parts that explain enough incidents, those that explain the most first.
+    pub fn guilty(&self, now: Duration) -> Vec<String> {
+        let mut guilty = Vec::new();
+        let mut incidents: Vec<&Incident> = self.incidents.values().collect();
+        incidents.sort_by_key(|i| i.at);
+        let mut by_part = self.counted(&incidents);
+        let mut is_explained = vec![false; incidents.len()];
+        loop {
+            by_part.retain(|_, positions| {
+                positions.retain(|(p, _)| !is_explained[*p]);
+                outages(positions.iter().map(|(p, _)| incidents[*p].at)) >= GUILTY_INCIDENTS
+            });
+            let candidates = by_part.iter().map(|(part, positions)| Candidate {
+                part,
+                sound: self.sound.get(*part).copied(),
+                place: positions
+                    .iter()
+                    .map(|(_, place)| *place)
+                    .max()
+                    .unwrap_or_default(),
+                count: outages(positions.iter().map(|(p, _)| incidents[*p].at)),
+            });
+            let Some(best) = candidates.reduce(better) else {
+                return guilty;
+            };
+            let positions = by_part.remove(best.part).unwrap_or_default();
+            let heard_at = positions.iter().map(|(p, _)| incidents[*p].heard_at).min();
+            // Until the gateways have been asked, the part is not guilty, nor is another one in its place.
+            if heard_at.is_some_and(|at| now >= at + INQUIRY_TIME) {
+                guilty.push(best.part.to_owned());
+            }
+            for (position, _) in positions {
+                is_explained[position] = true;
+            }
+        }
+    }
+
+    /// Parts to ask gateways about: those in crashes that no later sound run excuses, those in most
+    /// crashes first.
+    pub fn suspects(&self, _now: Duration) -> Vec<String> {
+        let incidents: Vec<&Incident> = self.incidents.values().collect();
+        let counts = self.counted(&incidents).into_iter();
+        let mut counts: Vec<_> = counts.map(|(part, positions)| (part, positions.len())).collect();
+        counts.sort_unstable_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(b.0)));
+        counts.truncate(MAX_SUSPECTS);
+        counts.into_iter().map(|(part, _)| part.to_owned()).collect()
+    }
+
+    /// Forgets what is too old to count.
+    pub fn expire(&mut self, now: Duration) {
+        let limit = time(now, EXPIRY_MS as u64);
+        self.incidents.retain(|_, incident| incident.at >= limit);
+        self.sound.retain(|_, at| *at >= limit);
+    }
+
+    /// Whether there is nothing to decide on.
+    pub fn is_empty(&self) -> bool {
+        self.incidents.is_empty()
+    }
+
+    /// Targets of the incidents in which a part counts, with one entry for each incident.
+    pub fn targets(&self, part: &str) -> Vec<&str> {
+        let counted = self.incidents.iter().filter(|(_, i)| self.counts(i, part));
+        counted.map(|((target, _), _)| target.as_str()).collect()
+    }
+
+    /// Time of the latest crash with a part.
+    pub fn latest_crash(&self, part: &str) -> Option<Duration> {
+        let incidents = self.incidents.values().filter(|i| i.parts.contains_key(part));
+        incidents.map(|i| duration(i.at)).max()
+    }
+
+    /// Whether a part has run soundly after its latest crash; without one, after `since`.
+    pub fn is_excused(&self, part: &str, since: Duration) -> bool {
+        let Some(sound) = self.sound.get(part) else {
+            return false;
+        };
+        let incidents = self.incidents.values().filter(|i| i.parts.contains_key(part));
+        let latest = incidents.map(|i| i.at).max();
+        *sound > latest.unwrap_or_else(|| time(since, 0))
+    }
+
+    /// Positions of the incidents in which each part counts, with its place in the prompts there.
+    fn counted<'a>(&self, incidents: &[&'a Incident]) -> HashMap<&'a str, Vec<(usize, usize)>> {
+        let mut counted: HashMap<&str, Vec<(usize, usize)>> = HashMap::new();
+        for (position, incident) in incidents.iter().enumerate() {
+            let parts = incident.parts.iter().filter(|(p, _)| self.counts(incident, p));
+            for (part, place) in parts {
+                counted.entry(part).or_default().push((position, *place));
+            }
+        }
+        counted
+    }
+
+    /// Whether a part is in an incident and has not run soundly since.
+    fn counts(&self, incident: &Incident, part: &str) -> bool {
+        let is_sound = self.sound.get(part).is_some_and(|at| *at > incident.at);
+        incident.parts.contains_key(part) && !is_sound
+    }
+
+    fn limit(&mut self) {
+        while self.incidents.len() > MAX_INCIDENTS {
+            let oldest = self.incidents.iter().min_by_key(|(_, i)| i.at);
+            let Some(key) = oldest.map(|(key, _)| key.clone()) else {
+                return;
+            };
+            self.incidents.remove(&key);
+        }
+        if self.sound.len() > MAX_SOUND_PARTS {
+            let mut times: Vec<i64> = self.sound.values().copied().collect();
+            times.sort_unstable_by(|a, b| b.cmp(a));
+            let limit = times[MAX_SOUND_PARTS];
+            self.sound.retain(|_, at| *at > limit);
+        }
+    }
+}
+
+/// The one of two parts that explains crashes better: more incidents, then an older latest sound run, then
+/// a later place in the prompts, then the lower name.
+fn better<'a>(a: Candidate<'a>, b: Candidate<'a>) -> Candidate<'a> {
+    let order = a
+        .count
+        .cmp(&b.count)
+        .then_with(|| b.sound.cmp(&a.sound))
+        .then_with(|| a.place.cmp(&b.place))
+        .then_with(|| b.part.cmp(a.part));
+    if order.is_ge() { a } else { b }
+}
+
+/// Number of outages in ascending times of incidents.
+fn outages(times: impl Iterator<Item = i64>) -> usize {
+    let mut count = 0;
+    let mut last_start = None;
+    for at in times {
+        if last_start.is_none_or(|start| at >= start + OUTAGE_MS) {
+            last_start = Some(at);
+            count += 1;
+        }
+    }
+    count
+}
+
+/// Time that was `age_ms` before `now`, in milliseconds of the leader's clock.
+fn time(now: Duration, age_ms: u64) -> i64 {
+    let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
+    (now.as_millis() as i64).saturating_sub(age_ms)
+}
+
+/// A time of the leader's clock; those before its start become its start.
+fn duration(at: i64) -> Duration {
+    Duration::from_millis(u64::try_from(at).unwrap_or_default())
+}
--- /dev/null
+++ b/src/domain/quarantine/report.rs
@@ -0,0 +1,80 @@
+//! Evidence as it travels from gateways to the leader.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Time for which a crash is reported, so that a lost report or a change of leader does not lose it.
+pub(super) const REPORTED_TIME: Duration = Duration::from_secs(5);
+/// Crashes in the merged evidence of several gateways; the youngest are kept.
+const MAX_MERGED_CRASHES: usize = 512;
+
+/// Parts of one request that was in progress at a target when its process ended, and that had not shown
+/// by then that it is sound.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Crash {
+    /// Identifier of the target.
+    pub target: String,
+    /// Incarnation of the process that ended.
+    pub incarnation: u64,
+    /// Parts of the request's prompt in order, without the last one.
+    pub parts: Vec<String>,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What one or several gateways have seen.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Evidence {
+    /// Recent crashes.
+    pub crashes: Vec<Crash>,
+    /// Time since the latest sound run of the parts that were asked about, in milliseconds.
+    pub sound: BTreeMap<String, u64>,
+}
+
+impl Evidence {
+    /// Merged evidence of several gateways, each with the time since it arrived.
+    ///
+    /// A crash that several report has the highest of its ages, a part the age of its latest sound run.
+    pub fn merged<'a>(evidence: impl IntoIterator<Item = (&'a Evidence, Duration)>) -> Self {
+        let mut ages: HashMap<(&str, u64, &[String]), u64> = HashMap::new();
+        let mut sound: BTreeMap<String, u64> = BTreeMap::new();
+        for (evidence, elapsed) in evidence {
+            let elapsed_ms = elapsed.as_millis() as u64;
+            for crash in &evidence.crashes {
+                let age_ms = crash.age_ms.saturating_add(elapsed_ms);
+                if u128::from(age_ms) > REPORTED_TIME.as_millis() {
+                    continue;
+                }
+                let key = (crash.target.as_str(), crash.incarnation, crash.parts.as_slice());
+                let age = ages.entry(key).or_default();
+                *age = age_ms.max(*age);
+            }
+            for (part, age_ms) in &evidence.sound {
+                let age_ms = age_ms.saturating_add(elapsed_ms);
+                match sound.get_mut(part) {
+                    Some(age) => *age = age_ms.min(*age),
+                    None => drop(sound.insert(part.clone(), age_ms)),
+                }
+            }
+        }
+        let mut crashes: Vec<_> = ages.into_iter().map(|(key, age_ms)| (age_ms, key)).collect();
+        crashes.sort_unstable();
+        crashes.truncate(MAX_MERGED_CRASHES);
+        let crashes = crashes
+            .into_iter()
+            .map(|(age_ms, (target, incarnation, parts))| Crash {
+                target: target.to_owned(),
+                incarnation,
+                parts: parts.to_vec(),
+                age_ms,
+            });
+        Evidence {
+            crashes: crashes.collect(),
+            sound,
+        }
+    }
+}
