--- a/src/domain/quarantine/blame.rs
+++ b/src/domain/quarantine/blame.rs
@@ -2,8 +2,11 @@
 //!
 //! An incident is the end of one process. A part counts in it if it was in a request in progress there and
 //! has not run soundly since. The part that counts in the most incidents explains them, and none of these
-//! counts against another part; so parts that only accompany a bad one are left with too few.
+//! counts against another part; so parts that only accompany a bad one are left with too few. Parts that
+//! are not known to have run soundly at all come first: otherwise the first part of all prompts, which
+//! counts in the incidents of two bad parts, would explain more than either.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -15,7 +18,7 @@
 /// Incidents of a part within this time of the first of them count once: one outage may end many
 /// processes at the same time.
 const OUTAGE_MS: i64 = 250;
-/// Time from the first report of a part's incidents until it can be guilty: gateways are asked first
+/// Time from the report of a part's second incident until it can be guilty: gateways are asked first
 /// whether it has run soundly since.
 const INQUIRY_TIME: Duration = Duration::from_millis(500);
 /// Time for which incidents and sound runs count, in milliseconds.
@@ -79,10 +82,12 @@
                     parts: BTreeMap::new(),
                 }
             });
+            is_new |= at < incident.at;
             incident.at = at.min(incident.at);
             incident.heard_at = now.min(incident.heard_at);
             for (place, part) in crash.parts.iter().enumerate() {
                 if let Some(known) = incident.parts.get_mut(part) {
+                    is_new |= place > *known;
                     *known = place.max(*known);
                 } else if incident.parts.len() < MAX_INCIDENT_PARTS {
                     incident.parts.insert(part.clone(), place);
@@ -104,7 +109,7 @@
         is_new
     }
 
-    /// Parts that explain enough incidents, those that explain the most first.
+    /// Parts that explain enough incidents, the best explanation first.
     pub fn guilty(&self, now: Duration) -> Vec<String> {
         let mut guilty = Vec::new();
         let mut incidents: Vec<&Incident> = self.incidents.values().collect();
@@ -130,9 +135,11 @@
                 return guilty;
             };
             let positions = by_part.remove(best.part).unwrap_or_default();
-            let heard_at = positions.iter().map(|(p, _)| incidents[*p].heard_at).min();
+            let mut heard_at: Vec<Duration> = positions.iter().map(|(p, _)| incidents[*p].heard_at).collect();
+            heard_at.sort_unstable();
             // Until the gateways have been asked, the part is not guilty, nor is another one in its place.
-            if heard_at.is_some_and(|at| now >= at + INQUIRY_TIME) {
+            // After its first incident it may not have been among those asked about.
+            if now >= heard_at[1] + INQUIRY_TIME {
                 guilty.push(best.part.to_owned());
             }
             for (position, _) in positions {
@@ -142,14 +149,18 @@
     }
 
     /// Parts to ask gateways about: those in crashes that no later sound run excuses, those in most
-    /// crashes first.
+    /// crashes first, then those in the latest.
     pub fn suspects(&self, _now: Duration) -> Vec<String> {
-        let incidents: Vec<&Incident> = self.incidents.values().collect();
-        let counts = self.counted(&incidents).into_iter();
-        let mut counts: Vec<_> = counts.map(|(part, positions)| (part, positions.len())).collect();
-        counts.sort_unstable_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(b.0)));
-        counts.truncate(MAX_SUSPECTS);
-        counts.into_iter().map(|(part, _)| part.to_owned()).collect()
+        let mut incidents: Vec<&Incident> = self.incidents.values().collect();
+        incidents.sort_by_key(|i| i.at);
+        let rank = |(part, positions): (_, Vec<(usize, usize)>)| {
+            let times = positions.iter().map(|(p, _)| incidents[*p].at);
+            (Reverse(outages(times.clone())), Reverse(times.max()), part)
+        };
+        let mut ranks: Vec<_> = self.counted(&incidents).into_iter().map(rank).collect();
+        ranks.sort_unstable();
+        ranks.truncate(MAX_SUSPECTS);
+        ranks.into_iter().map(|(_, _, part)| part.to_owned()).collect()
     }
 
     /// Forgets what is too old to count.
@@ -221,12 +232,14 @@
     }
 }
 
-/// The one of two parts that explains crashes better: more incidents, then an older latest sound run, then
-/// a later place in the prompts, then the lower name.
+/// The one of two parts that explains crashes better: one without a known sound run, as a bad part has none;
+/// then more incidents, an older latest sound run, a later place in the prompts, the lower name.
 fn better<'a>(a: Candidate<'a>, b: Candidate<'a>) -> Candidate<'a> {
     let order = a
-        .count
-        .cmp(&b.count)
+        .sound
+        .is_none()
+        .cmp(&b.sound.is_none())
+        .then_with(|| a.count.cmp(&b.count))
         .then_with(|| b.sound.cmp(&a.sound))
         .then_with(|| a.place.cmp(&b.place))
         .then_with(|| b.part.cmp(a.part));
