fleet: gateways report evidence and the log holds the quarantine

Cause: evidence against a prompt part is spread over all gateways, and the decision on it must outlive leaders and gateways. Change: reports and digests carry `evidence`; overviews name the suspects and the parts in quarantine. A committed change of them answers waiting polls, as a change of zones does. E512 and E513 log it, and the gauge `quarantined_parts` counts at each gateway. Nothing records evidence or refuses requests yet.

--- a/src/domain/fleet/call.rs
+++ b/src/domain/fleet/call.rs
@@ -10,6 +10,7 @@
 use super::Document;
 use super::Overview;
 use crate::domain::catalog::Compressed;
+use crate::domain::quarantine::Evidence;
 
 /// Report of a gateway; the answer is an [`Overview`].
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -33,6 +34,9 @@
     pub heartbeat_address: Option<String>,
     /// Further heartbeats of VMs whose earlier ones with the same content this controller has acknowledged.
     pub renewed: Vec<Renewal>,
+    /// Crashes that this gateway has seen, and sound runs of the parts that the leader asked about.
+    #[serde(default)]
+    pub evidence: Evidence,
 }
 
 /// Heartbeat that a controller has received.
@@ -79,6 +83,9 @@
     pub changed: Vec<Heard>,
     /// Heartbeats whose content the leader has.
     pub renewed: Vec<Renewal>,
+    /// Merged evidence of these gateways.
+    #[serde(default)]
+    pub evidence: Evidence,
 }
 
 /// Call to a controller. Only the leader carries calls out, and other controllers redirect to it;
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -21,6 +21,7 @@
 use super::event::Ticket;
 use super::lifecycle::Lifecycle;
 use super::log_membership;
+use super::quarantine::Quarantine;
 use crate::domain::consensus;
 use crate::domain::consensus::Node;
 use crate::domain::consensus::Payload;
@@ -71,8 +72,11 @@
     pub(super) targets: TargetLog,
     /// Identifiers of heads, and of VMs without a group, that get no new requests.
     pub(super) closed: Vec<String>,
-    /// Number of applied [`Command::SetZone`]; when it rises, all waiting polls are answered.
-    pub(super) zone_changes: usize,
+    /// Number of applied commands of which gateways must know soon, beside those that change targets or
+    /// the catalog; when it rises, all waiting polls are answered.
+    pub(super) urgent_changes: usize,
+    /// Evidence against prompt parts.
+    pub(super) quarantine: Quarantine,
     /// Callers that wait for a proposal to be applied, by log index.
     tickets_by_index: BTreeMap<u64, Vec<Ticket>>,
     /// Log indices of this leader's own proposals, without a caller, that are not applied yet.
@@ -119,7 +123,8 @@
             leading_since: None,
             targets: TargetLog::default(),
             closed: Vec::new(),
-            zone_changes: 0,
+            urgent_changes: 0,
+            quarantine: Quarantine::default(),
             tickets_by_index: BTreeMap::new(),
             own_proposals: VecDeque::new(),
             polls: Vec::new(),
@@ -198,6 +203,7 @@
         }
         self.maintain_log_membership(now, out);
         self.expire_peers(now);
+        self.decide_quarantine(now, out);
         // At thousands of VMs one reconciliation takes milliseconds, so changes are gathered for longer.
         let shortest_interval = RECONCILE_INTERVAL_PER_VM * self.registry.len() as u32;
         let longest_interval = RECONCILE_INTERVAL.max(shortest_interval);
@@ -365,16 +371,22 @@
     fn apply(&mut self, record: &consensus::Record, out: &mut Vec<Action>) {
         if let Payload::Command(text) = &record.payload {
             let command: Command = serde_json::from_str(text).expect("a committed command decodes");
-            if matches!(command, Command::SetZone { .. }) {
-                self.zone_changes += 1;
+            if command.is_urgent() {
+                self.urgent_changes += 1;
             }
+            let leads = self.leading_since.is_some();
+            let is_quarantine = matches!(command, Command::Quarantine { .. } | Command::Release { .. });
+            let previous = (leads && is_quarantine).then(|| self.state.quarantined.clone());
             self.state.apply(record.index, &command);
             self.applied_bytes += text.len();
             self.targets_dirty = true;
             self.reconcile_due = true;
-            if self.leading_since.is_some() {
+            if leads {
                 out.push(Action::Telemetry(Telemetry::Committed(command)));
             }
+            if let Some(previous) = previous {
+                self.report_quarantine(&previous, out);
+            }
         }
         self.own_proposals.retain(|index| *index > record.index);
         if let Some(tickets) = self.tickets_by_index.remove(&record.index) {
@@ -397,6 +409,7 @@
             self.gateway_count = 1;
             self.targets = TargetLog::new((self.node.term(), 0));
             self.closed.clear();
+            self.quarantine = Quarantine::default();
             self.targets_dirty = true;
             out.push(Action::Leadership(true));
         }
--- a/src/domain/fleet/digests.rs
+++ b/src/domain/fleet/digests.rs
@@ -46,8 +46,8 @@
     targets: (u64, u64),
     /// Version of the catalog that the controller holds.
     version: u64,
-    /// Value of [`Core::zone_changes`] when the digest arrived.
-    zone_changes: usize,
+    /// Value of [`Core::urgent_changes`] when the digest arrived.
+    urgent_changes: usize,
     /// When it is answered without a change.
     deadline: Duration,
 }
@@ -62,12 +62,14 @@
             self.registry
                 .renew(now, &renewal.id, renewal.incarnation, renewal.sequence);
         }
+        let evidence = std::mem::take(&mut digest.evidence);
+        self.quarantine.record(now, &evidence);
         self.polls.push(Poll {
             ticket,
             controller: digest.controller.address.clone(),
             targets: digest.targets,
             version: digest.version,
-            zone_changes: self.zone_changes,
+            urgent_changes: self.urgent_changes,
             deadline: now + self.digest_interval(),
         });
         let address = digest.controller.address.clone();
@@ -131,9 +133,9 @@
                 continue;
             }
             let has_new_targets = poll.targets != revision;
-            let has_new_catalog_or_zones =
-                poll.version < self.state.version() || poll.zone_changes != self.zone_changes;
-            if has_new_targets || has_new_catalog_or_zones || now >= poll.deadline {
+            let has_new_state =
+                poll.version < self.state.version() || poll.urgent_changes != self.urgent_changes;
+            if has_new_targets || has_new_state || now >= poll.deadline {
                 let overview = self.overview(now, &poll);
                 out.push(Action::Answer(poll.ticket, Answer::Overview(Box::new(overview))));
             } else {
@@ -170,6 +172,8 @@
             gateways: self.gateway_count,
             controllers: self.reachable_controllers(now),
             age_ms: 0,
+            suspects: self.quarantine.asked(&self.state.quarantined),
+            quarantined: self.state.quarantined.keys().cloned().collect(),
         }
     }
 
--- a/src/domain/fleet/event.rs
+++ b/src/domain/fleet/event.rs
@@ -42,6 +42,15 @@
     Lost(u64, Loss, String),
     /// The leader has applied a committed command.
     Committed(Command),
+    /// A prompt part is in quarantine.
+    Quarantined {
+        /// Prompt part.
+        part: String,
+        /// Targets whose crashes decided it, one entry for each crash.
+        targets: Vec<String>,
+    },
+    /// The prompt part is not in quarantine any more.
+    Released(String),
 }
 
 /// Output of [`super::Core::step`]; the daemon executes all actions in order.
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -27,6 +27,7 @@
 pub mod log_membership;
 mod order;
 mod plan;
+mod quarantine;
 mod reconciliation;
 mod registry;
 mod relay;
--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -22,6 +22,7 @@
 use super::TargetLog;
 use super::Timing;
 use super::event::Ticket;
+use crate::domain::quarantine::Evidence;
 
 /// Age of the leader's overview up to which reports are answered from it.
 const OVERVIEW_VALIDITY: Duration = Duration::from_millis(900);
@@ -69,7 +70,7 @@
     ticket: Ticket,
     targets: (u64, u64),
     version: u64,
-    zone_changes: usize,
+    urgent_changes: usize,
     arrived_at: Duration,
     deadline: Duration,
 }
@@ -109,8 +110,8 @@
     held: Option<Held>,
     /// Targets as of the leader's last overview.
     targets: TargetLog,
-    /// Changes of the zones out of service that overviews have shown.
-    zone_changes: usize,
+    /// Changes of the zones out of service and of the quarantine that overviews have shown.
+    urgent_changes: usize,
     polls: Vec<Poll>,
     /// Heartbeats in the digest that has no answer yet: VM, incarnation and sequence.
     in_flight: Vec<(String, u64, u64)>,
@@ -127,7 +128,7 @@
             vms: BTreeMap::new(),
             held: None,
             targets: TargetLog::default(),
-            zone_changes: 0,
+            urgent_changes: 0,
             polls: Vec::new(),
             in_flight: Vec::new(),
         }
@@ -220,6 +221,7 @@
         }
         stalled.sort_unstable();
         stalled.dedup();
+        let evidence = fresh().map(|g| (&g.report.evidence, now.saturating_sub(g.reported_at)));
         Digest {
             controller: self.controller.clone(),
             targets: self.targets.revision(),
@@ -231,6 +233,7 @@
             demand,
             changed,
             renewed,
+            evidence: Evidence::merged(evidence),
         }
     }
 
@@ -252,7 +255,7 @@
             ticket,
             targets: report.targets,
             version: report.version,
-            zone_changes: self.zone_changes,
+            urgent_changes: self.urgent_changes,
             arrived_at: now,
             deadline: now + self.report_interval(now),
         });
@@ -334,8 +337,8 @@
             self.resend_recent_heartbeats(now);
         }
         if let Some(previous) = previous.map(|h| h.overview) {
-            if previous.zones_out != overview.zones_out {
-                self.zone_changes += 1;
+            if previous.zones_out != overview.zones_out || previous.quarantined != overview.quarantined {
+                self.urgent_changes += 1;
             }
             if overview.catalog.is_none() && overview.version == previous.version {
                 overview.catalog = previous.catalog;
@@ -379,7 +382,7 @@
             };
             let has_change = poll.targets != self.targets.revision()
                 || poll.version < held.overview.version
-                || poll.zone_changes != self.zone_changes;
+                || poll.urgent_changes != self.urgent_changes;
             if !has_change && now < poll.deadline {
                 self.polls.push(poll);
                 continue;
@@ -411,6 +414,8 @@
             demand: overview.demand,
             gateways: overview.gateways,
             controllers: overview.controllers.clone(),
+            suspects: overview.suspects.clone(),
+            quarantined: overview.quarantined.clone(),
             ..Overview::default()
         }
     }
--- a/src/domain/fleet/state.rs
+++ b/src/domain/fleet/state.rs
@@ -11,6 +11,9 @@
 use crate::domain::catalog::Compressed;
 use crate::domain::catalog::Definition;
 
+/// Prompt parts in quarantine; the oldest is released for a further one.
+const MAX_QUARANTINED: usize = 64;
+
 /// One version of the catalog, as the operator's text and as JSON.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Document {
@@ -116,6 +119,27 @@
         /// Epoch of the group.
         epoch: u64,
     },
+    /// Send no more requests with a prompt part.
+    Quarantine {
+        /// Identifier of the prompt part.
+        part: String,
+    },
+    /// Send requests with a prompt part again.
+    Release {
+        /// Identifier of the prompt part.
+        part: String,
+    },
+}
+
+impl Command {
+    /// Whether gateways must know of the change before their next poll ends, and no change of the targets
+    /// or of the catalog tells them.
+    pub fn is_urgent(&self) -> bool {
+        matches!(
+            self,
+            Command::SetZone { .. } | Command::Quarantine { .. } | Command::Release { .. }
+        )
+    }
 }
 
 /// Replicated state.
@@ -136,6 +160,10 @@
     pub has_traffic: bool,
     /// VMs that accept requests on their own, of services without groups, by identifier.
     pub listed: BTreeMap<String, Target>,
+    /// Prompt parts in quarantine, with the log index of the decision; earlier versions' snapshots have
+    /// none.
+    #[serde(default)]
+    pub quarantined: BTreeMap<String, u64>,
     /// Epoch of the group of each member, by VM; rebuilt after a restore instead of stored.
     #[serde(skip)]
     epochs_by_vm: HashMap<String, u64>,
@@ -202,6 +230,10 @@
                     self.epochs_by_vm.remove(&member.id);
                 }
             }
+            Command::Quarantine { part } => self.quarantine(index, part),
+            Command::Release { part } => {
+                self.quarantined.remove(part);
+            }
         }
     }
 
@@ -225,6 +257,16 @@
         self.catalog = decoded.map(|d| d.expect("a controller checked the document before it was logged"));
     }
 
+    fn quarantine(&mut self, index: u64, part: &str) {
+        self.quarantined.entry(part.to_owned()).or_insert(index);
+        if self.quarantined.len() > MAX_QUARANTINED {
+            let oldest = self.quarantined.iter().min_by_key(|(_, index)| **index);
+            if let Some(oldest) = oldest.map(|(part, _)| part.clone()) {
+                self.quarantined.remove(&oldest);
+            }
+        }
+    }
+
     fn form_group(&mut self, index: u64, service: &str, model: &str, members: &[Member]) {
         // Two leaders may have claimed the same VM; the first formation in the log wins.
         let is_claimed = members.iter().any(|m| self.group_of(&m.id).is_some());
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -133,6 +133,22 @@
                     ("command", truncated.as_str().into()),
                 ]);
             }
+            Telemetry::Quarantined { part, targets } => {
+                let names = targets.join(" ");
+                let truncated: String = names.chars().take(400).collect();
+                logging::PART_QUARANTINED.log_fields(&[
+                    ("term", term.into()),
+                    ("index", index.into()),
+                    ("part", part.as_str().into()),
+                    ("crashes", (targets.len() as u64).into()),
+                    ("targets", truncated.as_str().into()),
+                ]);
+            }
+            Telemetry::Released(part) => logging::PART_RELEASED.log_fields(&[
+                ("term", term.into()),
+                ("index", index.into()),
+                ("part", part.as_str().into()),
+            ]),
         }
     }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,8 +1,10 @@
 //! State that all requests of a gateway share.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -22,11 +24,22 @@
 use crate::domain::gateway::Budget;
 use crate::domain::gateway::Demand;
 use crate::domain::gateway::Settings;
+use crate::domain::quarantine::Evidence;
+use crate::domain::quarantine::Witness;
 
 /// The catalog's lease ends this long before `revocation_ms`, the time after which a withdrawn key must
 /// not work anywhere, so that requests admitted last still reach their upstream in time.
 const LEASE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Prompt parts that the leader named last; a gateway that loses the controllers keeps them.
+#[derive(Default)]
+struct Quarantine {
+    /// Parts that the leader asks about.
+    suspects: Vec<String>,
+    /// Parts in quarantine.
+    parts: HashSet<String>,
+}
+
 /// Shared state of a gateway.
 pub(super) struct Context {
     pub(super) settings: Settings,
@@ -39,6 +52,8 @@
     budget: Mutex<Budget>,
     demand: Mutex<Demand>,
     heartbeats: Mutex<Heartbeats>,
+    witness: Mutex<Witness>,
+    quarantine: RwLock<Quarantine>,
     catalog: Mutex<Option<Arc<Catalog>>>,
     /// Start of the catalog's lease: when the leader last confirmed its version, in milliseconds of the
     /// process's clock.
@@ -69,6 +84,8 @@
             budget: Mutex::default(),
             demand: Mutex::default(),
             heartbeats: Mutex::default(),
+            witness: Mutex::default(),
+            quarantine: RwLock::default(),
             catalog: Mutex::default(),
             lease_start_ms: AtomicU64::new(0),
             has_targets: AtomicBool::new(false),
@@ -153,4 +170,33 @@
     pub(super) fn heartbeats(&self) -> MutexGuard<'_, Heartbeats> {
         self.heartbeats.lock().expect("no panic under this lock")
     }
+
+    pub(super) fn witness(&self) -> MutexGuard<'_, Witness> {
+        self.witness.lock().expect("no panic under this lock")
+    }
+
+    /// Evidence for the next report.
+    pub(super) fn evidence(&self, now: Duration) -> Evidence {
+        let quarantine = self.quarantine.read().expect("no panic under this lock");
+        self.witness().evidence(now, &quarantine.suspects)
+    }
+
+    /// First of `parts` that is in quarantine.
+    #[allow(dead_code, reason = "nothing reads the parts of a request yet")]
+    pub(super) fn quarantined_part(&self, parts: &[String]) -> Option<String> {
+        let quarantine = self.quarantine.read().expect("no panic under this lock");
+        parts.iter().find(|p| quarantine.parts.contains(*p)).cloned()
+    }
+
+    /// Replaces the parts that the leader asks about, and those in quarantine.
+    pub(super) fn set_quarantine(&self, suspects: &[String], quarantined: &[String]) {
+        self.metrics.quarantined_parts.set(quarantined.len() as i64);
+        let mut quarantine = self.quarantine.write().expect("no panic under this lock");
+        quarantine.suspects = suspects.to_vec();
+        let is_same = quarantine.parts.len() == quarantined.len()
+            && quarantined.iter().all(|p| quarantine.parts.contains(p));
+        if !is_same {
+            quarantine.parts = quarantined.iter().cloned().collect();
+        }
+    }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -31,6 +31,8 @@
     pub(super) version: IntGauge,
     /// Number of targets that the leader named.
     pub(super) targets: IntGauge,
+    /// Number of prompt parts in quarantine.
+    pub(super) quarantined_parts: IntGauge,
     /// Events received from upstreams for callers.
     pub(super) events: IntCounter,
 }
@@ -47,6 +49,7 @@
             reports: counters("reports_total", "Reports to the leader by outcome", &["outcome"]),
             version: gauge("catalog_version", "Version of the catalog in force"),
             targets: gauge("targets", "Targets named by the leader"),
+            quarantined_parts: gauge("quarantined_parts", "Prompt parts in quarantine"),
             first_answer: registry.histograms(
                 "first_seconds",
                 "Time to the answer or its first event",
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -146,6 +146,7 @@
         demand: context.demand().averages(now).clone(),
         heartbeat_address: (!is_draining).then(|| heartbeat_address.to_owned()),
         renewed,
+        evidence: context.evidence(now),
     }
 }
 
@@ -227,6 +228,7 @@
     let confirmed_at = sent.at.saturating_sub(Duration::from_millis(overview.age_ms));
     context.renew_lease(confirmed_at, has_new_targets);
     context.controllers.set_controllers(&overview.controllers);
+    context.set_quarantine(&overview.suspects, &overview.quarantined);
     context.room.notify_waiters();
     state.failures = 0;
     if !state.is_connected {
--- a/src/logging/catalogue.rs
+++ b/src/logging/catalogue.rs
@@ -306,6 +306,20 @@
     name: "join_requested",
     module: "fleet",
 };
+/// Requests with a prompt part are refused from now on; logs the crashes that it explains and their targets.
+pub const PART_QUARANTINED: Event = Event {
+    code: 512,
+    level: Level::Warn,
+    name: "part_quarantined",
+    module: "fleet",
+};
+/// Requests with a prompt part are sent again.
+pub const PART_RELEASED: Event = Event {
+    code: 513,
+    level: Level::Info,
+    name: "part_released",
+    module: "fleet",
+};
 
 /// All events, in order of their numbers.
 pub const ALL: &[Event] = &[
@@ -352,4 +366,6 @@
     STORAGE_WAITS,
     STORAGE_RESUMED,
     JOIN_REQUESTED,
+    PART_QUARANTINED,
+    PART_RELEASED,
 ];
