gateway: refuse requests with a prompt part in quarantine, and report what crashes upstreams

Change: the parts of a prompt are read from its header. A run is sound from its third event or its complete end. A connection lost before that starts a check of the target's address, one at a time for each incarnation; a refused connection, at once or 100 ms later, makes it a crash. Requests with a part in quarantine get 503 with retry-after before their first send and are not sent again or resumed.

--- a/src/adapters/http1/client.rs
+++ b/src/adapters/http1/client.rs
@@ -4,6 +4,7 @@
 //! the request went out, the caller gets [`Failure::Unsent`].
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -134,11 +135,18 @@
     !idle.connection.sender.is_closed() && now < idle.since + IDLE_TIMEOUT
 }
 
+/// Whether the host at `address` refuses a new connection, so that no process listens there.
+pub async fn refuses_connection(address: SocketAddr) -> bool {
+    let refusal = open(address).await.err();
+    refusal.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+async fn open(address: SocketAddr) -> io::Result<TcpStream> {
+    timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await?
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
-    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = connecting
-        .map_err(|_| Failure::Unsent)?
-        .map_err(|_| Failure::Unsent)?;
+    let stream = open(address).await.map_err(|_| Failure::Unsent)?;
     set_tcp_options(&stream);
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, io) = handshake.map_err(|_| Failure::Unsent)?;
--- a/src/adapters/http1/mod.rs
+++ b/src/adapters/http1/mod.rs
@@ -15,6 +15,7 @@
 pub use client::Client;
 pub use client::Connection;
 pub use client::Failure;
+pub use client::refuses_connection;
 pub use collect::Incomplete;
 pub use collect::collect;
 pub use framing::Framing;
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -103,11 +103,15 @@
         header_text(&head.headers, platform_header::ANSWER_LENGTH_HINT).and_then(|v| v.trim().parse().ok());
     let tokens =
         stated_tokens.map(|(prompt, max_answer)| (prompt, answer_hint.unwrap_or(max_answer).min(max_answer)));
+    let parts = header_text(&head.headers, platform_header::PROMPT_PARTS)
+        .map(platform_header::parse_prompt_parts)
+        .unwrap_or_default();
     Ok(Request {
         id: id.to_owned(),
         deadline: deadline(&head.headers, &route, started),
         model,
         tokens,
+        parts,
         service,
         method: head.method,
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -12,6 +12,7 @@
 
 use tokio::sync::Notify;
 
+use super::evidence::Checks;
 use super::metrics::Metrics;
 use crate::adapters::clock;
 use crate::adapters::fleet::Client;
@@ -54,6 +55,7 @@
     heartbeats: Mutex<Heartbeats>,
     witness: Mutex<Witness>,
     quarantine: RwLock<Quarantine>,
+    checks: Mutex<Checks>,
     catalog: Mutex<Option<Arc<Catalog>>>,
     /// Start of the catalog's lease: when the leader last confirmed its version, in milliseconds of the
     /// process's clock.
@@ -86,6 +88,7 @@
             heartbeats: Mutex::default(),
             witness: Mutex::default(),
             quarantine: RwLock::default(),
+            checks: Mutex::default(),
             catalog: Mutex::default(),
             lease_start_ms: AtomicU64::new(0),
             has_targets: AtomicBool::new(false),
@@ -167,6 +170,10 @@
         self.demand.lock().expect("no panic under this lock")
     }
 
+    pub(super) fn checks(&self) -> MutexGuard<'_, Checks> {
+        self.checks.lock().expect("no panic under this lock")
+    }
+
     pub(super) fn heartbeats(&self) -> MutexGuard<'_, Heartbeats> {
         self.heartbeats.lock().expect("no panic under this lock")
     }
@@ -182,7 +189,6 @@
     }
 
     /// First of `parts` that is in quarantine.
-    #[allow(dead_code, reason = "nothing reads the parts of a request yet")]
     pub(super) fn quarantined_part(&self, parts: &[String]) -> Option<String> {
         let quarantine = self.quarantine.read().expect("no panic under this lock");
         parts.iter().find(|p| quarantine.parts.contains(*p)).cloned()
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -12,6 +12,7 @@
 
 use super::answer;
 use super::context::Context;
+use super::evidence;
 use super::request::Request;
 use super::request::strip_hop_by_hop;
 use super::send::Classification;
@@ -66,10 +67,12 @@
         return answer::plain_text(StatusCode::BAD_GATEWAY, "the route's service is gone");
     };
     let request = Arc::new(request);
-    context
-        .budget()
-        .record_request(clock::now(), &context.settings, &service.name);
-    record_demand(&context, &request, &service);
+    if context.quarantined_part(&request.parts).is_none() {
+        context
+            .budget()
+            .record_request(clock::now(), &context.settings, &service.name);
+        record_demand(&context, &request, &service);
+    }
     let mut dispatch = Dispatch::new(&context, &request, &service);
     let response = dispatch.run().await;
     log_request_ended(&request, &dispatch, response.status());
@@ -126,6 +129,12 @@
             if clock::now() + MIN_TIME_LEFT >= self.request.deadline {
                 return self.give_up(upstream_failure, StatusCode::GATEWAY_TIMEOUT, "deadline");
             }
+            if let Some(part) = self.context.quarantined_part(&self.request.parts) {
+                if self.runs > 0 {
+                    return self.give_up(upstream_failure, StatusCode::BAD_GATEWAY, evidence::REASON);
+                }
+                return evidence::refuse(self.context, self.request, &part);
+            }
             let is_retry = !self.tried.is_empty();
             if is_retry && !self.may_send_again() {
                 return self.give_up(upstream_failure, StatusCode::BAD_GATEWAY, "no repeat left");
@@ -247,6 +256,7 @@
             }
             Ok(Err(Failure::Unknown)) => {
                 self.runs += 1;
+                evidence::record_lost_connection(&send, self.request);
                 self.end_failed(send, Outcome::Failed, "connection lost");
                 Delivery::Unknown(None)
             }
@@ -307,6 +317,7 @@
         let body = match timeout(time_left, collect(body, self.context.settings.max_answer_bytes)).await {
             Ok(Ok(body)) => body,
             Ok(Err(Incomplete::Truncated)) => {
+                evidence::record_lost_connection(&send, self.request);
                 self.end_failed(send, Outcome::Failed, "answer body truncated");
                 return Delivery::Unknown(None);
             }
@@ -328,6 +339,7 @@
             .with_label_values(&labels)
             .observe(took_s);
         let mut response = Response::from_parts(head, Body::whole(body));
+        evidence::record_answer(&send, self.request, &response);
         strip_hop_by_hop(response.headers_mut());
         send.end(Outcome::Answered);
         if response.status().is_server_error() && self.request.is_repeatable() {
@@ -339,14 +351,19 @@
     /// Logs a failed send and ends it.
     fn end_failed(&self, send: Send, outcome: Outcome, reason: &str) {
         let outcome_text = format!("{outcome:?}");
-        logging::SEND_FAILED.log_fields(&[
+        let parts = self.request.parts.join(",");
+        let mut fields = vec![
             ("request", self.request.id.as_str().into()),
             ("target", send.target.id.as_str().into()),
             ("outcome", outcome_text.as_str().into()),
             ("reason", reason.into()),
             ("sends", (self.tried.len() as u64).into()),
             ("after_ms", elapsed_ms(self.request).into()),
-        ]);
+        ];
+        if !parts.is_empty() {
+            fields.push(("parts", parts.as_str().into()));
+        }
+        logging::SEND_FAILED.log_fields(&fields);
         send.end(outcome);
     }
 
--- /dev/null
+++ b/src/gateway/evidence.rs
@@ -0,0 +1,148 @@
+//! Evidence on prompt parts: which runs were sound, and which ended because their upstream's process ended.
+//!
+//! A part in quarantine is one of which the leader has seen enough crashes; requests with it are refused.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Response;
+use hyper::body::Body as _;
+
+use super::answer;
+use super::context::Context;
+use super::dispatch::elapsed_ms;
+use super::request::Request;
+use super::send::Send;
+use crate::adapters::clock;
+use crate::adapters::http1;
+use crate::adapters::http1::Body;
+use crate::adapters::http1::Framing;
+use crate::domain::fleet::Target;
+use crate::logging;
+
+/// Reason of a refusal for a prompt part.
+pub(super) const REASON: &str = "a prompt part is in quarantine";
+
+/// Delay before a caller should retry a prompt with a part in quarantine; it may be released earlier.
+const RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Events after which a run is sound: upstreams crash on a part when they begin to write the answer.
+const SOUND_EVENTS: usize = 3;
+/// Delay before a target that has accepted a connection is checked again. A process that ends may lose
+/// its connections a moment before it stops listening.
+const RECHECK_DELAY: Duration = Duration::from_millis(100);
+/// Checks that run at the same time.
+const MAX_CHECKS: usize = 64;
+/// Requests that wait for the result of one check.
+const MAX_WAITING: usize = 64;
+
+/// Checks under way, by target and incarnation, with the prompt parts of the requests that broke there.
+pub(super) type Checks = BTreeMap<(String, u64), Vec<Vec<String>>>;
+
+/// What one run of a stream shows of the prompt parts of its request.
+#[derive(Default)]
+pub(super) struct Run {
+    events: usize,
+    is_sound: bool,
+}
+
+impl Run {
+    /// Records events that the run has delivered.
+    pub(super) fn record_events(&mut self, context: &Context, request: &Request, count: usize) {
+        self.events += count;
+        if self.events >= SOUND_EVENTS {
+            self.record_end(context, request);
+        }
+    }
+
+    /// Records that the run has ended completely.
+    pub(super) fn record_end(&mut self, context: &Context, request: &Request) {
+        if !self.is_sound {
+            self.is_sound = true;
+            record_sound(context, request);
+        }
+    }
+
+    /// Records that the run's connection was lost, unless the run has been sound.
+    pub(super) fn record_lost_connection(&self, send: &Send, request: &Request) {
+        if !self.is_sound {
+            record_lost_connection(send, request);
+        }
+    }
+}
+
+/// Records an answer that is not a stream.
+///
+/// An upstream reports an error before it begins to write, and the end of a connection may be the end of
+/// its process; neither shows that the parts are sound.
+pub(super) fn record_answer(send: &Send, request: &Request, response: &Response<Body>) {
+    let may_be_cut = response.body().is_end_stream() && Framing::of(response) == Framing::Connection;
+    if response.status().is_success() && !may_be_cut {
+        record_sound(&send.context, request);
+    }
+}
+
+fn record_sound(context: &Context, request: &Request) {
+    if !request.parts.is_empty() {
+        context.witness().record_sound(clock::now(), &request.parts);
+    }
+}
+
+/// Checks whether the process of a target whose connection was lost has ended, and records the crash.
+///
+/// Requests that break at the target during the check wait for its result.
+pub(super) fn record_lost_connection(send: &Send, request: &Request) {
+    let Ok(address) = send.target.address.parse() else {
+        return;
+    };
+    if request.parts.is_empty() {
+        return;
+    }
+    let mut checks = send.context.checks();
+    let is_full = checks.len() >= MAX_CHECKS;
+    let key = (send.target.id.clone(), send.target.incarnation);
+    match checks.get_mut(&key) {
+        Some(waiting) if waiting.len() < MAX_WAITING => waiting.push(request.parts.clone()),
+        // The requests that wait are evidence enough.
+        Some(_) => {}
+        None if is_full => {}
+        None => {
+            checks.insert(key, vec![request.parts.clone()]);
+            tokio::spawn(check(send.context.clone(), send.target.clone(), address));
+        }
+    }
+}
+
+async fn check(context: Arc<Context>, target: Target, address: SocketAddr) {
+    let mut has_ended = http1::refuses_connection(address).await;
+    if !has_ended {
+        tokio::time::sleep(RECHECK_DELAY).await;
+        has_ended = http1::refuses_connection(address).await;
+    }
+    let key = (target.id, target.incarnation);
+    let waiting = context.checks().remove(&key).unwrap_or_default();
+    if !has_ended {
+        return;
+    }
+    let (id, incarnation) = key;
+    let mut witness = context.witness();
+    for parts in waiting {
+        witness.record_crash(clock::now(), &id, incarnation, &parts);
+    }
+}
+
+/// Refusal of a request with a part in quarantine; no target has executed the request.
+pub(super) fn refuse(context: &Context, request: &Request, part: &str) -> Response<Body> {
+    context.metrics.refusals.with_label_values(&[REASON]).inc();
+    logging::REQUEST_REFUSED.log_fields(&[
+        ("request", request.id.as_str().into()),
+        ("route", request.route.name.as_str().into()),
+        ("reason", REASON.into()),
+        ("part", part.into()),
+        ("version", request.catalog.version().into()),
+        ("back_ms", (RETRY_AFTER.as_millis() as u64).into()),
+        ("after_ms", elapsed_ms(request).into()),
+    ]);
+    answer::unavailable(REASON, RETRY_AFTER)
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod context;
 mod dispatch;
+mod evidence;
 mod heartbeat;
 mod metrics;
 mod request;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -51,6 +51,8 @@
     pub(super) model: Option<String>,
     /// Prompt and expected answer lengths, in tokens, if the caller stated them.
     pub(super) tokens: Option<(u64, u64)>,
+    /// Identifiers of the prompt's parts in order, without the last one, which belongs to this request alone.
+    pub(super) parts: Vec<String>,
     pub(super) method: Method,
     pub(super) path: PathAndQuery,
     /// Headers for upstreams, without those that differ between sends.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use super::dispatch::elapsed_ms;
+use super::evidence;
 use super::request::Request;
 use super::request::strip_hop_by_hop;
 use super::send::Classification;
@@ -77,6 +78,7 @@
         framing,
         partial_bytes: 0,
         first_ms: 0,
+        evidence: evidence::Run::default(),
     };
     tokio::spawn(relay.run(body, connection, send));
     answer
@@ -111,6 +113,8 @@
     partial_bytes: usize,
     /// Time from the request to its first event, in milliseconds.
     first_ms: u64,
+    /// What the current run shows of the prompt parts.
+    evidence: evidence::Run,
 }
 
 impl Relay {
@@ -123,12 +127,14 @@
             let target = send.target.id.clone();
             self.is_streaming = false;
             self.partial_bytes = 0;
+            self.evidence = evidence::Run::default();
             let end = self.relay_events(body, &send).await;
             if self.is_streaming {
                 context.balancer().end_stream(&target);
             }
             match end {
                 End::Complete => {
+                    self.evidence.record_end(&context, &self.request);
                     context.upstreams.return_connection(connection);
                     send.end(Outcome::Answered);
                     self.log_run_end(&target, "complete");
@@ -146,6 +152,9 @@
                 End::Broken(outcome) => {
                     // Closing the connection makes the upstream stop its work on the request.
                     drop(connection);
+                    if outcome == Outcome::Failed {
+                        self.evidence.record_lost_connection(&send, &self.request);
+                    }
                     send.end(outcome);
                     self.log_run_end(&target, "broken");
                     match self.resume(&context).await {
@@ -209,6 +218,8 @@
                 self.first_ms = elapsed_ms(&self.request);
             }
             send.context.metrics.events.inc_by(events.len() as u64);
+            self.evidence
+                .record_events(&send.context, &self.request, events.len());
             let mut chunk = Vec::new();
             for event in events {
                 // A resumed run may repeat events that the caller already has.
@@ -271,6 +282,9 @@
         let can_continue = self.events == 0 || self.last_event_id.is_some();
         let is_resumable = self.request.route.repeat == Repeat::Resumable && can_continue;
         while is_resumable && self.runs < self.request.route.max_sends {
+            if context.quarantined_part(&self.request.parts).is_some() {
+                return None;
+            }
             let now = clock::now();
             let time_left = self.request.deadline.saturating_sub(now);
             let gateways = context.balancer().gateways();
@@ -302,6 +316,9 @@
                     continue;
                 }
                 Ok(Err(Failure::Unknown)) | Err(_) => {
+                    if sent.is_ok() {
+                        evidence::record_lost_connection(&send, &self.request);
+                    }
                     self.runs += 1;
                     send.end(Outcome::Failed);
                     continue;
@@ -369,7 +386,8 @@
         } else {
             logging::REQUEST_ENDED
         };
-        event.log_fields(&[
+        let parts = self.request.parts.join(",");
+        let mut fields = vec![
             ("request", self.request.id.as_str().into()),
             ("route", self.request.route.name.as_str().into()),
             ("target", target.into()),
@@ -380,6 +398,10 @@
             ("partial_bytes", (self.partial_bytes as u64).into()),
             ("first_ms", self.first_ms.into()),
             ("after_ms", elapsed_ms(&self.request).into()),
-        ]);
+        ];
+        if end == "broken" && !parts.is_empty() {
+            fields.push(("parts", parts.as_str().into()));
+        }
+        event.log_fields(&fields);
     }
 }
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -26,9 +26,34 @@
 pub const ANSWER_LENGTH_HINT: &str = "x-length-hint";
 /// Identifier of the last stream event that the caller received.
 pub const LAST_EVENT_ID: &str = "last-event-id";
+/// Parts of the prompt in order, as entries `ID:TOKENS` separated by commas; the last part belongs to this
+/// request alone.
+pub const PROMPT_PARTS: &str = "x-prefix-hash";
 /// Priority of the request at the engine, 0 to 9; callers' values are removed and none is set.
 pub const PRIORITY: &str = "x-request-priority";
 
+/// Prompt parts of a request that are read; further ones are ignored.
+const MAX_PROMPT_PARTS: usize = 32;
+/// Longest identifier of a prompt part, in bytes; a part with a longer one is ignored.
+const MAX_PROMPT_PART_BYTES: usize = 64;
+
+/// Parses the value of [`PROMPT_PARTS`] into the identifiers, in lower case, without that of the last part.
+///
+/// Entries whose identifier is not hexadecimal are ignored.
+pub fn parse_prompt_parts(value: &str) -> Vec<String> {
+    let Some((shared, _)) = value.trim_end_matches([',', ' ']).rsplit_once(',') else {
+        return Vec::new();
+    };
+    shared
+        .split(',')
+        .take(MAX_PROMPT_PARTS)
+        .map(|entry| entry.split(':').next().unwrap_or_default().trim())
+        .filter(|id| (1..=MAX_PROMPT_PART_BYTES).contains(&id.len()))
+        .filter(|id| id.bytes().all(|b| b.is_ascii_hexdigit()))
+        .map(str::to_ascii_lowercase)
+        .collect()
+}
+
 /// Parses the value of [`TOKEN_USAGE`] into prompt tokens and maximum answer tokens.
 pub fn parse_token_usage(value: &str) -> Option<(u64, u64)> {
     let (prompt, answer) = value.split_once(',')?;
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -8,6 +8,7 @@
 use heatherramp::domain::membership::Raw;
 use heatherramp::domain::state::Command;
 use heatherramp::logging;
+use heatherramp::platform::header::parse_prompt_parts;
 use heatherramp::settings::Control;
 use heatherramp::settings::Entry;
 use heatherramp::settings::jsonc;
@@ -61,6 +62,15 @@
         let _ = wire::Frame::decode(bytes.as_slice());
     }
 
+    #[test]
+    fn prompt_parts_are_few_and_short(value in "[0-9A-Fg:, ]{0,400}") {
+        let parts = parse_prompt_parts(&value);
+        prop_assert!(parts.len() <= 32);
+        for part in parts {
+            prop_assert!((1..=64).contains(&part.len()) && part.bytes().all(|b| b.is_ascii_hexdigit()));
+        }
+    }
+
     #[test]
     fn accepted_announcements_name_a_vm_in_at_most_128_bytes(vm in "\\PC{0,200}", address in "\\PC{0,40}", incarnation in any::<u64>()) {
         let raw: Raw = serde_json::from_value(json!({
@@ -109,3 +119,28 @@
     }
     assert_eq!(page.matches("| E").count(), logging::ALL.len());
 }
+
+#[test]
+fn the_last_prompt_part_is_left_out() {
+    let parse = |value: &str| parse_prompt_parts(value).join(" ");
+    assert_eq!(
+        parse("5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+        "5c1e07a2 91bd3f06"
+    );
+    assert_eq!(
+        parse("5C1E07A2:800, 91bd3f06:410 ,e4402b7d:250,"),
+        "5c1e07a2 91bd3f06"
+    );
+    assert_eq!(parse("e4402b7d:250"), "");
+    assert_eq!(parse(""), "");
+}
+
+#[test]
+fn prompt_parts_without_a_valid_identifier_are_ignored() {
+    let long = "a".repeat(65);
+    let value = format!("5c1e07a2:800,part:1,:7,{long}:1,91bd3f06,e4402b7d:250");
+    assert_eq!(parse_prompt_parts(&value), ["5c1e07a2", "91bd3f06"]);
+    let many: String = (0..40).map(|i| format!("{i:08x}:1,")).collect();
+    let parts = parse_prompt_parts(&many);
+    assert_eq!((parts.len(), parts[31].as_str()), (32, "0000001f"));
+}
--- a/tests/site/crash.rs
+++ b/tests/site/crash.rs
@@ -23,6 +23,8 @@
 
 /// Time from a crash until the upstream listens again.
 const RESTART_TIME: Duration = Duration::from_millis(500);
+/// Time for which an upstream may listen after its connections have ended.
+const CLOSE_TIME: Duration = Duration::from_millis(20);
 /// Pause before each event of an answer.
 const EVENT_PAUSE: Duration = Duration::from_millis(30);
 /// Events of a whole answer.
@@ -99,9 +101,15 @@
                 () = self.crash.notified() => break,
             }
         }
-        // The kernel closes the files of a process in the order of their opening.
-        drop(listener);
-        connections.shutdown().await;
+        // The kernel closes the files of a process one by one, in either order.
+        if restarts.is_multiple_of(2) {
+            drop(listener);
+            connections.shutdown().await;
+        } else {
+            connections.shutdown().await;
+            tokio::time::sleep(CLOSE_TIME).await;
+            drop(listener);
+        }
     }
 
     /// Answers requests on a connection until either side closes it.
