--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod context;
 mod dispatch;
+mod evidence;
 mod heartbeat;
 mod metrics;
 mod request;
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -6,6 +6,7 @@
 use tokio::time::timeout;
 
 use super::context::Context;
+use super::evidence;
 use super::request::Request;
 use super::send::Classification;
 use super::send::Send;
@@ -137,7 +138,12 @@
                 send.end(Outcome::Failed);
                 return Ok(None);
             }
-            Ok(Err(Failure::Unknown)) | Err(_) => {
+            Ok(Err(Failure::Unknown)) => {
+                evidence::record_lost_connection(&send, &self.request);
+                send.end(Outcome::Failed);
+                return Ok(None);
+            }
+            Err(_) => {
                 send.end(Outcome::Failed);
                 return Ok(None);
             }
@@ -150,7 +156,8 @@
                 Ok(None)
             }
             Classification::Own if response.status().is_success() => {
-                Ok(Some(Run::new(response, connection, send, position.events)))
+                let run = Run::new(&self.request, response, connection, send, position.events);
+                Ok(Some(run))
             }
             Classification::Own | Classification::Foreign => {
                 send.end(Outcome::Failed);
@@ -172,6 +179,9 @@
             if now >= self.request.deadline {
                 return Err("deadline");
             }
+            if self.context.quarantined_part(&self.request.parts).is_some() {
+                return Err(evidence::REASON);
+            }
             let criteria = Criteria {
                 service: &self.service,
                 model: self.request.model.as_deref(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -64,7 +64,8 @@
         position: Position::default(),
         first_ms: 0,
     };
-    tokio::spawn(relay.run(Run::new(response, connection, send, 0)));
+    let run = Run::new(&relay.request, response, connection, send, 0);
+    tokio::spawn(relay.run(run));
     answer
 }
 
@@ -129,7 +130,7 @@
                 Err(_) if max_pause == time_left => return Progress::Ended(End::Deadline),
                 Err(_) => return Progress::Silent,
                 Ok(frame) => {
-                    if let Some(progress) = run.receive(frame, self.request.deadline) {
+                    if let Some(progress) = run.receive(frame) {
                         return progress;
                     }
                 }
@@ -149,7 +150,7 @@
                 let progress = tokio::select! {
                     frame = timeout(time_left, run.body.frame()) => match frame {
                         Err(_) => return Progress::Ended(End::Deadline),
-                        Ok(frame) => run.receive(frame, deadline),
+                        Ok(frame) => run.receive(frame),
                     },
                     () = self.sender.closed() => return Progress::Ended(End::CallerLeft),
                     next = &mut next_run => break next,
@@ -243,7 +244,8 @@
             End::Deadline => (logging::REQUEST_ENDED, "deadline", ""),
             End::Broken(cause) => (logging::SEND_FAILED, "broken", cause),
         };
-        event.log_fields(&[
+        let parts = self.request.parts.join(",");
+        let mut fields = vec![
             ("request", self.request.id.as_str().into()),
             ("route", self.request.route.name.as_str().into()),
             ("target", run.target().into()),
@@ -255,6 +257,10 @@
             ("partial_bytes", (run.remainder().len() as u64).into()),
             ("first_ms", self.first_ms.into()),
             ("after_ms", elapsed_ms(&self.request).into()),
-        ]);
+        ];
+        if end == "broken" && !parts.is_empty() {
+            fields.push(("parts", parts.as_str().into()));
+        }
+        event.log_fields(&fields);
     }
 }
--- a/src/gateway/stream_run.rs
+++ b/src/gateway/stream_run.rs
@@ -1,12 +1,14 @@
 //! One run of a stream: the events of one target's answer.
 
-use std::time::Duration;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http::Response;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 
+use super::evidence;
+use super::request::Request;
 use super::send::Send;
 use crate::adapters::clock;
 use crate::adapters::http1::Connection;
@@ -44,6 +46,9 @@
     pub(super) framing: Framing,
     connection: Connection,
     send: Send,
+    request: Arc<Request>,
+    /// What the run shows of the request's prompt parts.
+    evidence: evidence::Run,
     splitter: Splitter,
     /// Whether the caller had events from earlier runs when this one started.
     is_continuation: bool,
@@ -54,12 +59,20 @@
 
 impl Run {
     /// Run whose answer has this head; `events` is the number of events that the caller has.
-    pub(super) fn new(response: Response<Incoming>, connection: Connection, send: Send, events: u64) -> Self {
+    pub(super) fn new(
+        request: &Arc<Request>,
+        response: Response<Incoming>,
+        connection: Connection,
+        send: Send,
+        events: u64,
+    ) -> Self {
         Run {
             framing: Framing::of(&response),
             body: response.into_body(),
             connection,
             send,
+            request: request.clone(),
+            evidence: evidence::Run::default(),
             splitter: Splitter::default(),
             is_continuation: events > 0,
             is_streaming: false,
@@ -78,11 +91,7 @@
     }
 
     /// Handles the next frame of the body, or its end; returns none if the frame completes no event.
-    pub(super) fn receive(
-        &mut self,
-        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
-        deadline: Duration,
-    ) -> Option<Progress> {
+    pub(super) fn receive(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Option<Progress> {
         let bytes = match frame {
             None => return Some(Progress::Ended(self.end_of_body())),
             Some(Err(_)) => return Some(Progress::Ended(End::Broken("connection lost"))),
@@ -90,7 +99,7 @@
         };
         let now = clock::now();
         // Bytes that are ready are passed on late, too, but not without end.
-        if now >= deadline {
+        if now >= self.request.deadline {
             self.late_bytes += bytes.len();
         }
         if self.late_bytes > MAX_LATE_BYTES {
@@ -108,6 +117,7 @@
             .balancer()
             .record_event(now, &self.send.target.id, is_first);
         context.metrics.events.inc_by(events.len() as u64);
+        self.evidence.record_events(context, &self.request, events.len());
         Some(Progress::Events(events))
     }
 
@@ -123,8 +133,9 @@
     }
 
     /// Ends a run that is complete, and keeps its connection for further requests.
-    pub(super) fn complete(self) {
+    pub(super) fn complete(mut self) {
         self.end_stream();
+        self.evidence.record_end(&self.send.context, &self.request);
         self.send.context.upstreams.return_connection(self.connection);
         self.send.end(Outcome::Answered);
     }
@@ -133,6 +144,9 @@
     pub(super) fn abandon(self, outcome: Outcome) {
         self.end_stream();
         drop(self.connection);
+        if outcome == Outcome::Failed {
+            self.evidence.record_lost_connection(&self.send, &self.request);
+        }
         self.send.end(outcome);
     }
 
