tests: quarantine tests for what a trial of 25 single changes left unnoticed

Cause: each of 25 single changes to the new code should fail a test; seven failed none: the reset on leadership, the wake-up of waiting digests and of waiting reports, three keys of the order of explanations, and the age of a crash in merged evidence. Change: three tests of the fleet and one of the decision; three existing tests take names or orders for which the keys matter.

--- a/tests/controllers/mod.rs
+++ b/tests/controllers/mod.rs
@@ -35,7 +35,7 @@
 /// Gateway, and what the leader last named to it.
 #[derive(Default)]
 pub struct Gateway {
-    witness: Witness,
+    pub witness: Witness,
     pub suspects: Vec<String>,
     pub quarantined: Vec<String>,
 }
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -80,6 +80,8 @@
     let (one, two, stale) = (evidence(100, 900), evidence(300, 50), evidence(4_900, 5_000));
     let merged = Evidence::merged([(&one, ms(10)), (&two, ms(200)), (&stale, ms(101))]);
     assert_eq!(merged, evidence(500, 250));
+    let merged = Evidence::merged([(&two, ms(200)), (&one, ms(10))]);
+    assert_eq!(merged, evidence(500, 250), "the last report replaces the others");
 }
 
 #[test]
@@ -207,3 +209,18 @@
         "an excused part is asked about"
     );
 }
+
+#[test]
+fn a_crash_that_another_gateway_saw_earlier_counts_from_then() {
+    let mut blame = Blame::default();
+    blame.record(ms(5_000), &crashes(vec![crash("t", 1, &["first"])]));
+    let earlier = Crash {
+        age_ms: 400,
+        ..crash("t", 1, &["first"])
+    };
+    assert!(
+        blame.record(ms(5_200), &crashes(vec![earlier])),
+        "not taken for new evidence"
+    );
+    assert_eq!(blame.latest_crash("first"), Some(ms(4_800)));
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -99,9 +99,9 @@
 
 #[test]
 fn the_first_part_of_all_prompts_is_not_condemned_after_a_restart_of_everything_without_sound_runs() {
-    let request: &[&[&str]] = &[&["first", "bad"], &["first"], &["first", "other"]];
-    let blame = blame_after(&[(0, request), (700, request), (1_400, &[&["first", "bad"]])]);
-    assert_eq!(blame.guilty(ms(5_000)), ["bad"]);
+    let request: &[&[&str]] = &[&["first", "z-bad"], &["first"], &["first", "other"]];
+    let blame = blame_after(&[(0, request), (700, request), (1_400, &[&["first", "z-bad"]])]);
+    assert_eq!(blame.guilty(ms(5_000)), ["z-bad"]);
 }
 
 #[test]
@@ -114,10 +114,25 @@
     assert_eq!(blame.guilty(ms(5_000)), ["bad"]);
 }
 
+#[test]
+fn of_parts_in_the_same_crashes_the_one_that_ran_soundly_last_is_not_condemned() {
+    let mut blame = Blame::default();
+    let evidence = Evidence {
+        sound: BTreeMap::from([("bad".to_owned(), 30_000), ("another".to_owned(), 100)]),
+        ..Evidence::default()
+    };
+    blame.record(ms(60_000), &evidence);
+    for i in 0..3u64 {
+        let crashed = crash(&format!("t{i}"), 1, &["bad", "another"]);
+        blame.record(ms(61_000 + i * 600), &crashes(vec![crashed]));
+    }
+    assert_eq!(blame.guilty(ms(65_000)), ["bad"]);
+}
+
 #[test]
 fn bystanders_in_many_crashes_are_not_condemned_with_the_bad_part() {
     // The bystander is in five of the six crashes, and never runs to its first events.
-    let both: &[&[&str]] = &[&["first", "bad"], &["first", "bystander"]];
+    let both: &[&[&str]] = &[&["first", "bad"], &["first", "a-bystander"]];
     let blame = blame_after(&[
         (0, both),
         (1_000, both),
@@ -307,21 +322,6 @@
     assert_eq!(blame.targets("bad"), ["t"]);
 }
 
-#[test]
-fn a_crash_that_another_gateway_saw_earlier_counts_from_then() {
-    let mut blame = Blame::default();
-    blame.record(ms(5_000), &crashes(vec![crash("t", 1, &["first"])]));
-    let earlier = Crash {
-        age_ms: 400,
-        ..crash("t", 1, &["first"])
-    };
-    assert!(
-        blame.record(ms(5_200), &crashes(vec![earlier])),
-        "not taken for new evidence"
-    );
-    assert_eq!(blame.latest_crash("first"), Some(ms(4_800)));
-}
-
 /// Evidence with the times at which it arrives.
 fn arrivals() -> impl Strategy<Value = Vec<(u64, Evidence)>> {
     let part = || (0u8..6).prop_map(|p| format!("p{p}"));
--- a/tests/quarantine_fleet.rs
+++ b/tests/quarantine_fleet.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 
 use heatherramp::domain::consensus::Snapshot;
+use heatherramp::domain::fleet::Action;
+use heatherramp::domain::fleet::Answer;
 use heatherramp::domain::fleet::Call;
 use heatherramp::domain::fleet::Command;
 use heatherramp::domain::fleet::Digest;
@@ -27,6 +29,15 @@
 use controllers::relay;
 use controllers::strings;
 
+/// Overview for the caller with ticket 1.
+fn overview_of(actions: Vec<Action>) -> Option<Overview> {
+    let overviews = actions.into_iter().find_map(|action| match action {
+        Action::Answer(1, Answer::Overview(overview)) => Some(overview),
+        _ => None,
+    });
+    overviews.map(|o| *o)
+}
+
 #[test]
 fn crashes_that_gateways_at_different_controllers_saw_put_the_part_in_quarantine_at_all_of_them() {
     let mut fleet = Fleet::start(3);
@@ -99,6 +110,83 @@
     assert_eq!(fleet.quarantined(), ["bad"]);
 }
 
+#[test]
+fn a_controller_that_leads_again_does_not_count_crashes_of_its_earlier_leadership() {
+    let mut fleet = Fleet::start(3);
+    for i in 0..2 {
+        fleet.crash(i, &format!("t{i}"), &["part"]);
+        fleet.advance_by(400);
+    }
+    let first = fleet.leader().unwrap();
+    fleet.is_up[first] = false;
+    fleet.advance_until(|fleet| fleet.leader().is_some_and(|leader| leader != first));
+    fleet.advance_by(6_000);
+    fleet.run_soundly(0, &["part"]);
+    fleet.advance_by(200);
+    fleet.gateways = (0..3).map(|_| Gateway::default()).collect();
+    while fleet.leader() != Some(first) {
+        let leader = fleet.leader().unwrap();
+        fleet.is_up = (0..3).map(|i| i != leader).collect();
+        fleet.advance_until(|fleet| fleet.leader().is_some_and(|new| new != leader));
+    }
+    fleet.is_up = vec![true; 3];
+    fleet.crash(2, "t2", &["part"]);
+    fleet.advance_by(2_000);
+    assert_eq!(fleet.leader(), Some(first));
+    assert!(fleet.quarantined().is_empty());
+}
+
+#[test]
+fn the_leader_answers_waiting_digests_as_soon_as_a_part_is_in_quarantine() {
+    let mut fleet = Fleet::start(1);
+    for i in 0..3 {
+        fleet.crash(0, &format!("t{i}"), &["bad"]);
+        fleet.advance_by(if i < 2 { 300 } else { 0 });
+    }
+    let crashed = fleet.gateways[0].witness.evidence(ms(fleet.now), &[]);
+    let core = &mut fleet.cores[0];
+    let call = |digest| Event::Call {
+        ticket: 1,
+        call: Call::Digest(Box::new(digest)),
+    };
+    // Once the leader knows of so many gateways, a digest without a change waits for 600 ms.
+    let mut digest = Digest {
+        gateways: (0..2_000).map(|i| format!("g{i}")).collect(),
+        ..Digest::default()
+    };
+    let answer = overview_of(core.step(ms(fleet.now), call(digest.clone())));
+    digest.targets = answer.expect("the digest's targets are outdated").revision;
+    digest.evidence = crashed;
+    let asked_at = fleet.now;
+    let mut answer = overview_of(core.step(ms(asked_at), call(digest)));
+    while answer.is_none() {
+        fleet.now += 20;
+        answer = overview_of(core.step(ms(fleet.now), Event::Tick));
+    }
+    let waited = fleet.now - asked_at;
+    assert!(waited < 400, "the digest waited for {waited} ms");
+    assert_eq!(answer.unwrap().quarantined, ["bad"]);
+}
+
+#[test]
+fn a_relay_answers_waiting_reports_as_soon_as_a_part_is_in_quarantine() {
+    let mut relay = relay("a");
+    let overview = |quarantined: &[&str]| {
+        Box::new(Overview {
+            quarantined: strings(quarantined),
+            ..Overview::default()
+        })
+    };
+    relay.step(ms(0), Input::Overview(ms(0), overview(&[])));
+    let waiting = relay.step(ms(10), Input::Report(1, Box::default()));
+    assert!(waiting.is_empty(), "answered without a change");
+    let answered = relay.step(ms(20), Input::Overview(ms(15), overview(&["bad"])));
+    let [(1, Answer::Overview(answer))] = answered.as_slice() else {
+        panic!("not answered: {answered:?}");
+    };
+    assert_eq!(answer.quarantined, ["bad"]);
+}
+
 #[test]
 fn a_sound_run_after_the_latest_crash_releases_the_part_at_all_gateways() {
     let mut fleet = Fleet::start(3);
