--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -8,33 +8,25 @@
 
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::answer;
 use super::attempt;
 use super::attempt::Head;
 use super::context::Context;
+use super::delivery::Delivery;
 use super::evidence;
 use super::request::Request;
-use super::request::strip_hop_by_hop;
-use super::send::Classification;
 use super::send::Send;
-use super::send::classify;
 use super::stream;
 use crate::adapters::clock;
 use crate::adapters::http1::Body;
-use crate::adapters::http1::Connection;
-use crate::adapters::http1::Failure;
-use crate::adapters::http1::Incomplete;
-use crate::adapters::http1::collect;
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Target;
 use crate::domain::gateway::Admission;
 use crate::domain::gateway::Choice;
 use crate::domain::gateway::Criteria;
 use crate::domain::gateway::Demand;
-use crate::domain::gateway::Outcome;
 use crate::domain::gateway::admission_limits;
 use crate::domain::gateway::group_time;
 use crate::domain::gateway::retry_after;
@@ -51,18 +43,6 @@
 /// Shortest time to the deadline for which a send is worth the work that it causes.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
-/// Result of one send.
-pub(super) enum Delivery {
-    /// Final answer.
-    Answer(Response<Body>),
-    /// Head of an event stream, with its connection.
-    Stream(Response<Incoming>, Connection, Send),
-    /// The target did not execute the request.
-    NotRun,
-    /// The target may have executed the request; with the answer if it was a server error.
-    Unknown(Option<Response<Body>>),
-}
-
 /// Sends a request to targets until there is a final answer.
 pub(super) async fn run(context: Arc<Context>, request: Request) -> Response<Body> {
     let Some(service) = request.catalog.service(&request.service).cloned() else {
@@ -101,14 +81,14 @@
 }
 
 /// Sends of one request so far.
-struct Dispatch<'a> {
-    context: &'a Arc<Context>,
-    request: &'a Arc<Request>,
-    service: &'a Service,
+pub(super) struct Dispatch<'a> {
+    pub(super) context: &'a Arc<Context>,
+    pub(super) request: &'a Arc<Request>,
+    pub(super) service: &'a Service,
     /// Identifier of each send's target.
-    tried: Vec<String>,
+    pub(super) tried: Vec<String>,
     /// Sends that a target may have executed.
-    runs: u32,
+    pub(super) runs: u32,
     /// Sends that no target executed.
     unexecuted: usize,
     /// Server error with which an upstream has answered.
@@ -329,125 +309,12 @@
         }
     }
 
-    /// Handles the head of an answer, or its absence.
-    async fn read_head(&mut self, send: Send, head: Head) -> Delivery {
-        match head {
-            Head::Arrived(response, connection) => self.read_response(response, connection, send).await,
-            Head::Late => {
-                self.runs += 1;
-                self.end_failed(send, Outcome::Stalled, "no answer in time");
-                Delivery::Unknown(None)
-            }
-            Head::Failed(Failure::Unsent) => {
-                self.end_failed(send, Outcome::Failed, "no connection");
-                Delivery::NotRun
-            }
-            Head::Failed(Failure::Unknown) => {
-                self.runs += 1;
-                evidence::record_lost_connection(&send, self.request);
-                self.end_failed(send, Outcome::Failed, "connection lost");
-                Delivery::Unknown(None)
-            }
-        }
-    }
-
     /// Time after which the head of an answer counts as late.
     fn head_timeout(&self) -> Duration {
         let goal = Duration::from_millis(self.request.route.goal_ms);
         (goal * HEAD_TIMEOUT_GOALS).max(MIN_HEAD_TIMEOUT)
     }
 
-    /// Classifies an answer's head, then reads its body unless it is an event stream.
-    async fn read_response(
-        &mut self,
-        response: Response<Incoming>,
-        connection: Connection,
-        send: Send,
-    ) -> Delivery {
-        send.record_notice(&response);
-        match classify(self.request, &response) {
-            Classification::NotRun(outcome) => {
-                self.end_failed(send, outcome, "refused by the target");
-                return Delivery::NotRun;
-            }
-            Classification::Foreign => {
-                self.runs += 1;
-                self.end_failed(
-                    send,
-                    Outcome::Failed,
-                    "answer of another request or without a signature",
-                );
-                return Delivery::Unknown(None);
-            }
-            Classification::Own => self.runs += 1,
-        }
-        if self.request.route.streams && response.status().is_success() {
-            return Delivery::Stream(response, connection, send);
-        }
-        self.read_body(response, connection, send).await
-    }
-
-    async fn read_body(
-        &mut self,
-        response: Response<Incoming>,
-        connection: Connection,
-        send: Send,
-    ) -> Delivery {
-        let (head, body) = response.into_parts();
-        let time_left = self.request.deadline.saturating_sub(clock::now());
-        let body = match timeout(time_left, collect(body, self.context.settings.max_answer_bytes)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(Incomplete::Truncated)) => {
-                evidence::record_lost_connection(&send, self.request);
-                self.end_failed(send, Outcome::Failed, "answer body truncated");
-                return Delivery::Unknown(None);
-            }
-            Ok(Err(Incomplete::TooLarge)) => {
-                self.end_failed(send, Outcome::Failed, "answer body too large");
-                return Delivery::Unknown(None);
-            }
-            Err(_) => {
-                self.end_failed(send, Outcome::Stalled, "answer body timed out");
-                return Delivery::Unknown(None);
-            }
-        };
-        self.context.upstreams.return_connection(connection);
-        let labels = [self.service.name.as_str()];
-        let took_s = (clock::now() - self.request.started).as_secs_f64();
-        self.context
-            .metrics
-            .first_answer
-            .with_label_values(&labels)
-            .observe(took_s);
-        let mut response = Response::from_parts(head, Body::whole(body));
-        evidence::record_answer(&send, self.request, &response);
-        strip_hop_by_hop(response.headers_mut());
-        send.end(Outcome::Answered);
-        if response.status().is_server_error() && self.request.is_repeatable() {
-            return Delivery::Unknown(Some(response));
-        }
-        Delivery::Answer(response)
-    }
-
-    /// Logs a failed send and ends it.
-    fn end_failed(&self, send: Send, outcome: Outcome, reason: &str) {
-        let outcome_text = format!("{outcome:?}");
-        let parts = self.request.parts.join(",");
-        let mut fields = vec![
-            ("request", self.request.id.as_str().into()),
-            ("target", send.target.id.as_str().into()),
-            ("outcome", outcome_text.as_str().into()),
-            ("reason", reason.into()),
-            ("sends", (self.tried.len() as u64).into()),
-            ("after_ms", elapsed_ms(self.request).into()),
-        ];
-        if !parts.is_empty() {
-            fields.push(("parts", parts.as_str().into()));
-        }
-        logging::SEND_FAILED.log_fields(&fields);
-        send.end(outcome);
-    }
-
     /// Final answer after the sends have failed: the upstream's error if there is one, else a refusal
     /// if no target executed the request, else `status` with `reason`.
     fn give_up(&mut self, status: StatusCode, reason: &str) -> Response<Body> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod caller;
 mod context;
+mod delivery;
 mod dispatch;
 mod evidence;
 mod heartbeat;
