--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -156,3 +156,45 @@
     let (status, body) = send(&site, "/lookup/1").await.expect("an answer");
     assert_eq!((status, body.as_ref()), (200, &b"whole"[..]));
 }
+
+/// The other upstream has sent the head of its answer, but the first answer is whole earlier.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_answer_is_not_given_up_for_a_head_without_its_body() {
+    let script = |head: &str| {
+        static REQUESTS: AtomicUsize = AtomicUsize::new(0);
+        let text = format!("{}content-length: 5\r\n\r\n", answer_head(head));
+        if REQUESTS.fetch_add(1, Ordering::Relaxed) > 0 {
+            return vec![Step::Send(text), Step::Pause(Duration::from_secs(8))];
+        }
+        vec![Step::Pause(SLOW_HEAD), Step::Send(format!("{text}whole"))]
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(201, script).await;
+    let started = Instant::now();
+    let (status, body) = send(&site, "/lookup/1").await.expect("an answer");
+    assert_eq!((status, body.as_ref()), (200, &b"whole"[..]));
+    // The caller leaves at its deadline of 4 s.
+    assert!(started.elapsed() < Duration::from_millis(3_800));
+}
+
+/// A caller that leaves a silent stream must not make its upstream count as sound.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_was_silent_until_its_caller_left_gets_no_request_at_once() {
+    let script = |head: &str| match header(head, "x-target-replica") {
+        Some("desk0") => vec![
+            Step::Send(format!("{}\r\n", answer_head(head))),
+            Step::Pause(Duration::from_secs(8)),
+        ],
+        _ => vec![
+            Step::Send(format!("{}\r\n{}", answer_head(head), event_text(1, 10))),
+            Step::Close,
+        ],
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(202, script).await;
+    // Of two idle upstreams, the first one is chosen.
+    let leaving = tokio::time::timeout(Duration::from_millis(2_500), send(&site, "/stream/1"));
+    assert!(leaving.await.is_err(), "the silent upstream was not chosen");
+    // The gateway notices within this time that its caller has left.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let (status, body) = send(&site, "/stream/2").await.expect("a complete answer");
+    assert_eq!((status, events(&body)), (200, (1..=10).collect::<Vec<u64>>()));
+}
