gateway: a 503 is not passed on after a send of unknown outcome

Cause: since the server error of an earlier send is passed on when a later one brings no answer. A 503 tells the caller that the request was not executed, but the target of the other send may have executed it. The same held before for a 503 after a lost answer.

Now such a 503 gives way to the gateway's own 502 or 504; other server errors are passed on as before.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -40,7 +40,7 @@
 use crate::logging;
 
 /// Number of sends that no target executed after which the request is not sent again.
-const MAX_UNEXECUTED_SENDS: usize = 3;
+pub(super) const MAX_UNEXECUTED_SENDS: usize = 3;
 /// Time after which an answer's head counts as late, as a multiple of the route's latency objective.
 const HEAD_TIMEOUT_GOALS: u32 = 4;
 /// Lower bound of the time after which an answer's head counts as late.
@@ -110,6 +110,8 @@
     unexecuted: usize,
     /// Server error with which an upstream has answered.
     upstream_failure: Option<Response<Body>>,
+    /// Whether a target may have executed the request without an answer.
+    has_lost_answer: bool,
 }
 
 impl<'a> Dispatch<'a> {
@@ -122,6 +124,7 @@
             runs: 0,
             unexecuted: 0,
             upstream_failure: None,
+            has_lost_answer: false,
         }
     }
 
@@ -311,7 +314,8 @@
     fn record_failure(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::NotRun => self.unexecuted += 1,
-            Delivery::Unknown(response) => self.upstream_failure = response.or(self.upstream_failure.take()),
+            Delivery::Unknown(None) => self.has_lost_answer = true,
+            Delivery::Unknown(response) => self.upstream_failure = response,
             Delivery::Answer(_) | Delivery::Stream(..) => {}
         }
     }
@@ -429,9 +433,14 @@
 
     /// Final answer after the sends have failed: the upstream's error if there is one, else a refusal
     /// if no target executed the request, else `status` with `reason`.
+    ///
+    /// A 503 tells the caller that the request was not executed, which one target cannot know of another.
     fn give_up(&mut self, status: StatusCode, reason: &str) -> Response<Body> {
-        if let Some(upstream_failure) = self.upstream_failure.take() {
-            return upstream_failure;
+        let failure = self.upstream_failure.take();
+        let is_misleading =
+            |r: &Response<Body>| self.has_lost_answer && r.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(failure) = failure.filter(|r| !is_misleading(r)) {
+            return failure;
         }
         if self.runs == 0 {
             return self.refuse("not sent in time", Duration::ZERO);
