--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -6,6 +6,7 @@
 use tokio::time::timeout;
 
 use super::context::Context;
+use super::dispatch::MAX_UNEXECUTED_SENDS;
 use super::request::Request;
 use super::send::Classification;
 use super::send::Send;
@@ -48,6 +49,8 @@
     tried: Vec<String>,
     /// Sends that a target may have executed.
     runs: u32,
+    /// Sends that no target executed.
+    unexecuted: usize,
 }
 
 impl Search {
@@ -65,6 +68,7 @@
             service,
             tried: vec![target.to_owned()],
             runs,
+            unexecuted: 0,
         }
     }
 
@@ -86,7 +90,7 @@
     /// A send in progress when the search is dropped counts as a run.
     pub(super) async fn next_run_eventually(&mut self, position: Position) -> Run {
         loop {
-            if let Ok(run) = self.next_run(position).await {
+            if let Ok(run) = self.find_run(position, MAX_UNEXECUTED_SENDS).await {
                 return run;
             }
             tokio::time::sleep(SEARCH_INTERVAL).await;
@@ -96,12 +100,16 @@
     /// Starts another run after the last event, if the route, the retry budget and the deadline allow;
     /// returns the reason if there is none.
     pub(super) async fn next_run(&mut self, position: Position) -> Result<Run, &'static str> {
+        self.find_run(position, usize::MAX).await
+    }
+
+    async fn find_run(&mut self, position: Position, max_unexecuted: usize) -> Result<Run, &'static str> {
         // Without an identifier a further run would repeat the events that the caller has.
         let can_continue = position.events == 0 || position.last_event_id.is_some();
         if self.request.route.repeat != Repeat::Resumable || !can_continue {
             return Err("not resumable");
         }
-        while self.runs < self.request.route.max_sends {
+        while self.runs < self.request.route.max_sends && self.unexecuted < max_unexecuted {
             let target = self.wait_for_target(position).await?;
             if let Some(run) = self.send(target, position).await? {
                 return Ok(run);
@@ -134,6 +142,7 @@
             Ok(Ok(answer)) => answer,
             Ok(Err(Failure::Unsent)) => {
                 self.runs -= 1;
+                self.unexecuted += 1;
                 send.end(Outcome::Failed);
                 return Ok(None);
             }
@@ -146,6 +155,7 @@
         match classify(&self.request, &response) {
             Classification::NotRun(outcome) => {
                 self.runs -= 1;
+                self.unexecuted += 1;
                 send.end(outcome);
                 Ok(None)
             }
