gateway: a run that is silent to its end counts against its target

Cause: since a silent run goes on until its caller leaves or its deadline, and both ended it as abandoned, which is no evidence against the target. An upstream that sends heads and no events was not ejected any more, and got the next request at once; before it was ejected when the run was given up.

Now such a run ends as stalled. A run that goes on after its silence ends as before.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -83,9 +83,15 @@
     async fn run(mut self, mut run: Run) {
         loop {
             let mut progress = self.receive(&mut run).await;
-            if matches!(progress, Progress::Silent) {
+            let is_silent = matches!(progress, Progress::Silent);
+            if is_silent {
                 progress = self.outlast_silence(&mut run).await;
             }
+            // A silence until the end is evidence against the target, whoever ends it.
+            let early_outcome = match progress {
+                Progress::Ended(_) if is_silent => Outcome::Stalled,
+                _ => Outcome::Abandoned,
+            };
             let end = match progress {
                 Progress::Silent => continue,
                 Progress::Events(events) if self.pass_on(&events).await => continue,
@@ -96,9 +102,9 @@
             self.log_run_end(&run, end);
             match end {
                 End::Complete => return run.complete(),
-                End::CallerLeft => return run.abandon(Outcome::Abandoned),
+                End::CallerLeft => return run.abandon(early_outcome),
                 End::Deadline => {
-                    run.abandon(Outcome::Abandoned);
+                    run.abandon(early_outcome);
                     return self.abort_answer("deadline").await;
                 }
                 End::Broken(_) => run.abandon(Outcome::Failed),
