gateway: a silent run is given up only for an event of another one

The head of another run replaced the silent one, although a head brings the caller nothing and its run may be silent or break, too. When the silent run broke, a send in progress had 600 ms more and was then given up; it counted as a run, so with the last permitted send the answer was aborted.

Now both runs are read after the head, and the first event decides; the other run breaking resumes the search. When the silent run breaks, the send in progress keeps its own time limit. The position does not change until an event has come, so none is lost or doubled.

--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -1,6 +1,8 @@
 //! Search for another target that continues a stream after its last event.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::timeout;
@@ -25,7 +27,7 @@
 
 /// Longest wait for room to resume a stream. Callers leave after two seconds without an event; the
 /// pause before the wait and the time to the first event after it count towards these two seconds.
-pub(super) const MAX_WAIT: Duration = Duration::from_millis(600);
+const MAX_WAIT: Duration = Duration::from_millis(600);
 /// Time limit for the head of a resumed run while a further send is possible.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Delay after a search without a result while the current run may still go on.
@@ -85,13 +87,19 @@
         first_answer.observe(took_s);
     }
 
-    /// Starts another run while the current one is silent; never returns if no send is possible.
+    /// Starts another run while the current one is silent; goes on without a send if none is possible.
     ///
-    /// A send in progress when the search is dropped counts as a run.
-    pub(super) async fn next_run_eventually(&mut self, position: Position) -> Run {
+    /// Returns the reason for no run only after `has_ended` was set, when the current run cannot go on, and
+    /// no send is in progress. A send in progress when the search is dropped counts as a run.
+    pub(super) async fn next_run_beside(
+        &mut self,
+        position: Position,
+        has_ended: &AtomicBool,
+    ) -> Result<Run, &'static str> {
         loop {
-            if let Ok(run) = self.find_run(position, MAX_UNEXECUTED_SENDS).await {
-                return run;
+            let found = self.find_run(position, MAX_UNEXECUTED_SENDS).await;
+            if found.is_ok() || has_ended.load(Ordering::Relaxed) {
+                return found;
             }
             tokio::time::sleep(SEARCH_INTERVAL).await;
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -5,6 +5,8 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,12 +14,12 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::dispatch::elapsed_ms;
 use super::request::Request;
 use super::request::strip_hop_by_hop;
-use super::search;
 use super::search::Position;
 use super::search::Search;
 use super::send::Send;
@@ -143,42 +145,96 @@
         }
     }
 
-    /// Waits for a silent run to go on while another one is sought, and takes what comes first.
+    /// Waits for a silent run to go on while another one is sought, and takes what brings an event first.
     ///
-    /// Returns `Silent` after `run` was replaced by another one.
+    /// Returns `Silent` after `run` was replaced by another one that has not brought an event yet.
     async fn outlast_silence(&mut self, run: &mut Run) -> Progress {
         let deadline = self.request.deadline;
-        let next = {
-            let mut next_run = pin!(self.search.next_run_eventually(self.position));
+        'search: loop {
+            let mut next = match self.seek_beside(run).await {
+                Ok((next, None)) => next,
+                Ok((next, Some(cause))) => {
+                    self.replace(run, next, cause, Outcome::Failed);
+                    return Progress::Silent;
+                }
+                Err(progress) => return progress,
+            };
+            // A head alone does not replace a run that may go on.
             loop {
                 let time_left = deadline.saturating_sub(clock::now());
-                let progress = tokio::select! {
-                    frame = timeout(time_left, run.body.frame()) => match frame {
-                        Err(_) => return Progress::Ended(End::Deadline),
-                        Ok(frame) => run.receive(frame, deadline),
-                    },
+                let (progress, is_of_next) = tokio::select! {
+                    frame = run.body.frame() => (run.receive(frame, deadline), false),
+                    frame = next.body.frame() => (next.receive(frame, deadline), true),
+                    () = sleep(time_left) => return Progress::Ended(End::Deadline),
                     () = self.sender.closed() => return Progress::Ended(End::CallerLeft),
-                    next = &mut next_run => break next,
                 };
-                match progress {
-                    None => {}
-                    // A send that is in progress may still lead to another run.
-                    Some(Progress::Ended(End::Broken(cause))) => {
-                        tokio::select! {
-                            next = timeout(search::MAX_WAIT.min(time_left), &mut next_run) => match next {
-                                Ok(next) => break next,
-                                Err(_) => return Progress::Ended(End::Broken(cause)),
-                            },
-                            () = self.sender.closed() => return Progress::Ended(End::CallerLeft),
+                match (progress, is_of_next) {
+                    (None, _) => {}
+                    (Some(Progress::Ended(end @ End::Broken(_))), true) => {
+                        self.log_run_end(&next, end);
+                        next.abandon(Outcome::Failed);
+                        continue 'search;
+                    }
+                    (Some(Progress::Ended(End::Broken(cause))), false) => {
+                        self.replace(run, next, cause, Outcome::Failed);
+                        return Progress::Silent;
+                    }
+                    (Some(progress), true) => {
+                        self.replace(run, next, "silent", Outcome::Stalled);
+                        return progress;
+                    }
+                    (Some(progress), false) => {
+                        next.abandon(Outcome::Abandoned);
+                        return progress;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Seeks another run beside a silent one; returns the progress of the silent one if that comes first.
+    ///
+    /// With the other run comes the reason why the silent one has broken, if it has.
+    async fn seek_beside(&mut self, run: &mut Run) -> Result<(Run, Option<&'static str>), Progress> {
+        let deadline = self.request.deadline;
+        let has_ended = AtomicBool::new(false);
+        let mut next_run = pin!(self.search.next_run_beside(self.position, &has_ended));
+        loop {
+            let time_left = deadline.saturating_sub(clock::now());
+            let progress = tokio::select! {
+                frame = timeout(time_left, run.body.frame()) => match frame {
+                    Err(_) => return Err(Progress::Ended(End::Deadline)),
+                    Ok(frame) => run.receive(frame, deadline),
+                },
+                () = self.sender.closed() => return Err(Progress::Ended(End::CallerLeft)),
+                next = &mut next_run => match next {
+                    Ok(next) => return Ok((next, None)),
+                    // Only after the run has ended, which this loop does not outlast.
+                    Err(reason) => return Err(Progress::Ended(End::Broken(reason))),
+                },
+            };
+            match progress {
+                None => {}
+                // A send that is in progress may still lead to another run.
+                Some(Progress::Ended(End::Broken(cause))) => {
+                    has_ended.store(true, Ordering::Relaxed);
+                    tokio::select! {
+                        next = &mut next_run => {
+                            let ended = Progress::Ended(End::Broken(cause));
+                            return next.map(|next| (next, Some(cause))).map_err(|_| ended);
                         }
+                        () = self.sender.closed() => return Err(Progress::Ended(End::CallerLeft)),
                     }
-                    Some(progress) => return progress,
                 }
+                Some(progress) => return Err(progress),
             }
-        };
-        self.log_run_end(run, End::Broken("silent"));
-        std::mem::replace(run, next).abandon(Outcome::Stalled);
-        Progress::Silent
+        }
+    }
+
+    /// Replaces a run by the next one, and ends it with `cause` and `outcome`.
+    fn replace(&self, run: &mut Run, next: Run, cause: &'static str, outcome: Outcome) {
+        self.log_run_end(run, End::Broken(cause));
+        std::mem::replace(run, next).abandon(outcome);
     }
 
     /// Passes events on to the caller; returns whether it is still there.
