gateway: an unframed run without an event does not end a silent stream

Cause: a resumed run that brings no event counts as complete, since nothing may follow the last event. Without framing the end of its connection also ends it when its upstream breaks after the head. The silent run was given up for it, and the caller got 4 of 10 events in an answer that looked complete.

Now such a run beside a silent one counts as broken, and the search goes on. After a run has broken, an unframed empty one still counts as complete.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -30,6 +30,7 @@
 use crate::adapters::http1::Abort;
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Connection;
+use crate::adapters::http1::Framing;
 use crate::domain::catalog::Service;
 use crate::domain::gateway::Event;
 use crate::domain::gateway::Outcome;
@@ -175,6 +176,12 @@
                         next.abandon(Outcome::Failed);
                         continue 'search;
                     }
+                    // The end of its connection does not show that no event follows.
+                    (Some(Progress::Ended(End::Complete)), true) if next.framing == Framing::Connection => {
+                        self.log_run_end(&next, End::Broken("ended before an event"));
+                        next.abandon(Outcome::Failed);
+                        continue 'search;
+                    }
                     (Some(Progress::Ended(End::Broken(cause))), false) => {
                         self.replace(run, next, cause, Outcome::Failed);
                         return Progress::Silent;
