catalog: figures of an engine that give no duration are rejected

A configuration with step_ms -1000 was accepted, and the handler of the next request that was read whole panicked in Duration::from_secs_f64: its caller got neither an answer nor a refusal. With slots 0 the panic came under the balancer's lock.

Now negative, absurdly large and absent figures make the configuration invalid, with service and figure in the reason; and estimated times are limited to an hour, since token counts also come from callers.

--- a/src/domain/catalog/error.rs
+++ b/src/domain/catalog/error.rs
@@ -23,6 +23,13 @@
     ZeroWeight(String),
     /// The timeout of the named route is 0.
     ZeroTimeout(String),
+    /// A figure of a service or its engine is negative, not a number, or too small to calculate with.
+    InvalidFigure {
+        /// Name of the service.
+        service: String,
+        /// Name of the figure.
+        figure: &'static str,
+    },
     /// Two client accounts share a key.
     SharedKey {
         /// Name of the first account.
@@ -43,6 +50,9 @@
             }
             Error::ZeroWeight(route) => write!(f, "route {route}: weights add up to 0"),
             Error::ZeroTimeout(route) => write!(f, "route {route}: timeout is 0"),
+            Error::InvalidFigure { service, figure } => {
+                write!(f, "service {service}: invalid value of {figure}")
+            }
             Error::SharedKey { first, second } => {
                 write!(f, "client accounts {first} and {second} share a key")
             }
--- a/src/domain/catalog/validate.rs
+++ b/src/domain/catalog/validate.rs
@@ -6,6 +6,10 @@
 use super::Catalog;
 use super::Definition;
 use super::Error;
+use super::Service;
+
+/// Largest figure of a service that is accepted, in the figure's own unit.
+const MAX_FIGURE: f64 = 1e9;
 
 impl TryFrom<Definition> for Catalog {
     type Error = Error;
@@ -13,6 +17,7 @@
     fn try_from(definition: Definition) -> Result<Self, Error> {
         check_routes(&definition)?;
         check_keys(&definition)?;
+        definition.services.iter().try_for_each(check_figures)?;
         Ok(Catalog::new(definition))
     }
 }
@@ -64,3 +69,42 @@
     }
     Ok(())
 }
+
+/// Checks the figures from which durations and rates are calculated.
+fn check_figures(service: &Service) -> Result<(), Error> {
+    let invalid = |figure| {
+        Err(Error::InvalidFigure {
+            service: service.name.clone(),
+            figure,
+        })
+    };
+    let is_amount = |value: f64| (0.0..=MAX_FIGURE).contains(&value);
+    if !is_amount(service.cold_rate) {
+        return invalid("cold rate");
+    }
+    let Some(engine) = &service.engine else {
+        return Ok(());
+    };
+    if engine.slots == 0 {
+        return invalid("slots");
+    }
+    let figures = [
+        ("time of a step", engine.step_ms),
+        ("time of a step for each request", engine.step_request_ms),
+        ("prefill rate", engine.read_per_s),
+        ("load rate", engine.loads_per_s),
+        ("mean prompt", engine.mean_prompt),
+        ("mean answer", engine.mean_answer),
+    ];
+    if let Some((figure, _)) = figures.into_iter().find(|(_, value)| !is_amount(*value)) {
+        return invalid(figure);
+    }
+    if engine
+        .models
+        .iter()
+        .any(|m| !is_amount(m.pace) || !is_amount(m.share))
+    {
+        return invalid("pace or share of a model");
+    }
+    Ok(())
+}
--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use super::Settings;
+use super::demand::estimate;
 use super::tracker::Tracker;
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Table;
@@ -378,7 +379,7 @@
         };
         let rate = service.cold_rate * used_fraction * self.share;
         if rate > 0.0 {
-            Duration::from_secs_f64(1.0 / rate)
+            estimate(1.0 / rate)
         } else {
             Duration::ZERO
         }
@@ -464,9 +465,9 @@
         .model
         .and_then(|m| engine.model(m))
         .map_or(1.0, |m| m.pace);
-    let slots = f64::from(engine.slots);
+    let slots = f64::from(engine.slots.max(1));
     let step_ms = engine.step_ms + engine.step_request_ms * slots;
     let answer_ms = engine.mean_answer * step_ms * pace;
     let total_slots = slots * pool.len().max(1) as f64;
-    Duration::from_secs_f64(answer_ms / total_slots / 1000.0)
+    estimate(answer_ms / total_slots / 1000.0)
 }
--- a/src/domain/gateway/demand.rs
+++ b/src/domain/gateway/demand.rs
@@ -11,6 +11,8 @@
 
 /// Fraction of the slots assumed to be in use when the cost of a step is split between requests.
 const TYPICAL_SLOT_USE: f64 = 0.8;
+/// Longest time that is estimated, in seconds.
+const MAX_ESTIMATE_S: f64 = 3_600.0;
 /// Time constant of the exponential moving averages.
 const AVERAGING_TIME: Duration = Duration::from_secs(3);
 
@@ -19,7 +21,17 @@
     let active = (f64::from(engine.slots) * TYPICAL_SLOT_USE).max(1.0);
     let step_ms = (engine.step_ms + engine.step_request_ms * active) / active;
     let prefill_ms = prompt_tokens * 1_000.0 / engine.read_per_s.max(1.0);
-    Duration::from_secs_f64((prefill_ms + answer_tokens * step_ms) * model.pace / 1_000.0)
+    estimate((prefill_ms + answer_tokens * step_ms) * model.pace / 1_000.0)
+}
+
+/// Duration of `seconds`, at least 0 and at most [`MAX_ESTIMATE_S`]; 0 for what is not a number.
+///
+/// The figures come from operators and callers, and a duration that does not exist must not panic.
+pub(super) fn estimate(seconds: f64) -> Duration {
+    if seconds.is_nan() {
+        return Duration::ZERO;
+    }
+    Duration::from_secs_f64(seconds.clamp(0.0, MAX_ESTIMATE_S))
 }
 
 /// Moving averages of the work that arrives per second.
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -134,3 +134,28 @@
         let _ = heatherramp::platform::heartbeat::decode("vm", &bytes);
     }
 }
+
+/// With such figures no time can be calculated, and requests of the engine would end without an answer.
+#[test]
+fn figures_of_an_engine_that_give_no_duration_are_rejected() {
+    let with = |figure: &str, value: f64| {
+        let mut document = document();
+        document["services"][0]["inference-engine"] = json!({
+            "slots": 8, "stride": 5, "step_ms": 6.0, "per_seq_ms": 0.2, "read_per_s": 46000.0,
+            "loads-per-s": 4.0, "loads_at_once": 6, "usual": {"prompt": 100, "answer": 50},
+            "model-list": [{"name": "model", "size": 2, "traffic-share": 1.0, "pace": 1.0,
+                            "load-time-s": 1.0, "warmup-s": 0.1}]});
+        document["services"][0]["inference-engine"][figure] = json!(value);
+        Catalog::try_from(decode(&document).unwrap()).map(|_| ())
+    };
+    assert_eq!(with("step_ms", 6.0), Ok(()));
+    for (figure, value) in [
+        ("step_ms", -1_000.0),
+        ("step_ms", 1e300),
+        ("per_seq_ms", -0.1),
+        ("read_per_s", -1.0),
+    ] {
+        let rejected = matches!(with(figure, value), Err(Error::InvalidFigure { .. }));
+        assert!(rejected, "{figure} {value} is accepted");
+    }
+}
