--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -1,11 +1,14 @@
 //! Search for another target that continues a stream after its last event.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::timeout;
 
 use super::context::Context;
+use super::dispatch::MAX_UNEXECUTED_SENDS;
 use super::evidence;
 use super::request::Request;
 use super::send::Classification;
@@ -25,7 +28,7 @@
 
 /// Longest wait for room to resume a stream. Callers leave after two seconds without an event; the
 /// pause before the wait and the time to the first event after it count towards these two seconds.
-pub(super) const MAX_WAIT: Duration = Duration::from_millis(600);
+const MAX_WAIT: Duration = Duration::from_millis(600);
 /// Time limit for the head of a resumed run while a further send is possible.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Delay after a search without a result while the current run may still go on.
@@ -49,6 +52,8 @@
     tried: Vec<String>,
     /// Sends that a target may have executed.
     runs: u32,
+    /// Sends that no target executed.
+    unexecuted: usize,
 }
 
 impl Search {
@@ -66,6 +71,7 @@
             service,
             tried: vec![target.to_owned()],
             runs,
+            unexecuted: 0,
         }
     }
 
@@ -82,13 +88,19 @@
         first_answer.observe(took_s);
     }
 
-    /// Starts another run while the current one is silent; never returns if no send is possible.
+    /// Starts another run while the current one is silent; goes on without a send if none is possible.
     ///
-    /// A send in progress when the search is dropped counts as a run.
-    pub(super) async fn next_run_eventually(&mut self, position: Position) -> Run {
+    /// Returns the reason for no run only after `has_ended` was set, when the current run cannot go on, and
+    /// no send is in progress. A send in progress when the search is dropped counts as a run.
+    pub(super) async fn next_run_beside(
+        &mut self,
+        position: Position,
+        has_ended: &AtomicBool,
+    ) -> Result<Run, &'static str> {
         loop {
-            if let Ok(run) = self.next_run(position).await {
-                return run;
+            let found = self.find_run(position, MAX_UNEXECUTED_SENDS).await;
+            if found.is_ok() || has_ended.load(Ordering::Relaxed) {
+                return found;
             }
             tokio::time::sleep(SEARCH_INTERVAL).await;
         }
@@ -97,12 +109,16 @@
     /// Starts another run after the last event, if the route, the retry budget and the deadline allow;
     /// returns the reason if there is none.
     pub(super) async fn next_run(&mut self, position: Position) -> Result<Run, &'static str> {
+        self.find_run(position, usize::MAX).await
+    }
+
+    async fn find_run(&mut self, position: Position, max_unexecuted: usize) -> Result<Run, &'static str> {
         // Without an identifier a further run would repeat the events that the caller has.
         let can_continue = position.events == 0 || position.last_event_id.is_some();
         if self.request.route.repeat != Repeat::Resumable || !can_continue {
             return Err("not resumable");
         }
-        while self.runs < self.request.route.max_sends {
+        while self.runs < self.request.route.max_sends && self.unexecuted < max_unexecuted {
             let target = self.wait_for_target(position).await?;
             if let Some(run) = self.send(target, position).await? {
                 return Ok(run);
@@ -135,6 +151,7 @@
             Ok(Ok(answer)) => answer,
             Ok(Err(Failure::Unsent)) => {
                 self.runs -= 1;
+                self.unexecuted += 1;
                 send.end(Outcome::Failed);
                 return Ok(None);
             }
@@ -152,6 +169,7 @@
         match classify(&self.request, &response) {
             Classification::NotRun(outcome) => {
                 self.runs -= 1;
+                self.unexecuted += 1;
                 send.end(outcome);
                 Ok(None)
             }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -5,6 +5,8 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,12 +14,12 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::dispatch::elapsed_ms;
 use super::request::Request;
 use super::request::strip_hop_by_hop;
-use super::search;
 use super::search::Position;
 use super::search::Search;
 use super::send::Send;
@@ -28,6 +30,7 @@
 use crate::adapters::http1::Abort;
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Connection;
+use crate::adapters::http1::Framing;
 use crate::domain::catalog::Service;
 use crate::domain::gateway::Event;
 use crate::domain::gateway::Outcome;
@@ -84,9 +87,15 @@
     async fn run(mut self, mut run: Run) {
         loop {
             let mut progress = self.receive(&mut run).await;
-            if matches!(progress, Progress::Silent) {
+            let is_silent = matches!(progress, Progress::Silent);
+            if is_silent {
                 progress = self.outlast_silence(&mut run).await;
             }
+            // A silence until the end is evidence against the target, whoever ends it.
+            let early_outcome = match progress {
+                Progress::Ended(_) if is_silent => Outcome::Stalled,
+                _ => Outcome::Abandoned,
+            };
             let end = match progress {
                 Progress::Silent => continue,
                 Progress::Events(events) if self.pass_on(&events).await => continue,
@@ -97,9 +106,9 @@
             self.log_run_end(&run, end);
             match end {
                 End::Complete => return run.complete(),
-                End::CallerLeft => return run.abandon(Outcome::Abandoned),
+                End::CallerLeft => return run.abandon(early_outcome),
                 End::Deadline => {
-                    run.abandon(Outcome::Abandoned);
+                    run.abandon(early_outcome);
                     return self.abort_answer("deadline").await;
                 }
                 End::Broken(_) => run.abandon(Outcome::Failed),
@@ -138,42 +147,102 @@
         }
     }
 
-    /// Waits for a silent run to go on while another one is sought, and takes what comes first.
+    /// Waits for a silent run to go on while another one is sought, and takes what brings an event first.
     ///
-    /// Returns `Silent` after `run` was replaced by another one.
+    /// Returns `Silent` after `run` was replaced by another one that has not brought an event yet.
     async fn outlast_silence(&mut self, run: &mut Run) -> Progress {
         let deadline = self.request.deadline;
-        let next = {
-            let mut next_run = pin!(self.search.next_run_eventually(self.position));
+        'search: loop {
+            let mut next = match self.seek_beside(run).await {
+                Ok((next, None)) => next,
+                Ok((next, Some(cause))) => {
+                    self.replace(run, next, cause, Outcome::Failed);
+                    return Progress::Silent;
+                }
+                Err(progress) => return progress,
+            };
+            // A head alone does not replace a run that may go on.
             loop {
                 let time_left = deadline.saturating_sub(clock::now());
-                let progress = tokio::select! {
-                    frame = timeout(time_left, run.body.frame()) => match frame {
-                        Err(_) => return Progress::Ended(End::Deadline),
-                        Ok(frame) => run.receive(frame),
-                    },
+                let (progress, is_of_next) = tokio::select! {
+                    frame = run.body.frame() => (run.receive(frame), false),
+                    frame = next.body.frame() => (next.receive(frame), true),
+                    () = sleep(time_left) => return Progress::Ended(End::Deadline),
                     () = self.sender.closed() => return Progress::Ended(End::CallerLeft),
-                    next = &mut next_run => break next,
                 };
-                match progress {
-                    None => {}
-                    // A send that is in progress may still lead to another run.
-                    Some(Progress::Ended(End::Broken(cause))) => {
-                        tokio::select! {
-                            next = timeout(search::MAX_WAIT.min(time_left), &mut next_run) => match next {
-                                Ok(next) => break next,
-                                Err(_) => return Progress::Ended(End::Broken(cause)),
-                            },
-                            () = self.sender.closed() => return Progress::Ended(End::CallerLeft),
+                match (progress, is_of_next) {
+                    (None, _) => {}
+                    (Some(Progress::Ended(end @ End::Broken(_))), true) => {
+                        self.log_run_end(&next, end);
+                        next.abandon(Outcome::Failed);
+                        continue 'search;
+                    }
+                    // The end of its connection does not show that no event follows.
+                    (Some(Progress::Ended(End::Complete)), true) if next.framing == Framing::Connection => {
+                        self.log_run_end(&next, End::Broken("ended before an event"));
+                        next.abandon(Outcome::Failed);
+                        continue 'search;
+                    }
+                    (Some(Progress::Ended(End::Broken(cause))), false) => {
+                        self.replace(run, next, cause, Outcome::Failed);
+                        return Progress::Silent;
+                    }
+                    (Some(progress), true) => {
+                        self.replace(run, next, "silent", Outcome::Stalled);
+                        return progress;
+                    }
+                    (Some(progress), false) => {
+                        next.abandon(Outcome::Abandoned);
+                        return progress;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Seeks another run beside a silent one; returns the progress of the silent one if that comes first.
+    ///
+    /// With the other run comes the reason why the silent one has broken, if it has.
+    async fn seek_beside(&mut self, run: &mut Run) -> Result<(Run, Option<&'static str>), Progress> {
+        let deadline = self.request.deadline;
+        let has_ended = AtomicBool::new(false);
+        let mut next_run = pin!(self.search.next_run_beside(self.position, &has_ended));
+        loop {
+            let time_left = deadline.saturating_sub(clock::now());
+            let progress = tokio::select! {
+                frame = timeout(time_left, run.body.frame()) => match frame {
+                    Err(_) => return Err(Progress::Ended(End::Deadline)),
+                    Ok(frame) => run.receive(frame),
+                },
+                () = self.sender.closed() => return Err(Progress::Ended(End::CallerLeft)),
+                next = &mut next_run => match next {
+                    Ok(next) => return Ok((next, None)),
+                    // Only after the run has ended, which this loop does not outlast.
+                    Err(reason) => return Err(Progress::Ended(End::Broken(reason))),
+                },
+            };
+            match progress {
+                None => {}
+                // A send that is in progress may still lead to another run.
+                Some(Progress::Ended(End::Broken(cause))) => {
+                    has_ended.store(true, Ordering::Relaxed);
+                    tokio::select! {
+                        next = &mut next_run => {
+                            let ended = Progress::Ended(End::Broken(cause));
+                            return next.map(|next| (next, Some(cause))).map_err(|_| ended);
                         }
+                        () = self.sender.closed() => return Err(Progress::Ended(End::CallerLeft)),
                     }
-                    Some(progress) => return progress,
                 }
+                Some(progress) => return Err(progress),
             }
-        };
-        self.log_run_end(run, End::Broken("silent"));
-        std::mem::replace(run, next).abandon(Outcome::Stalled);
-        Progress::Silent
+        }
+    }
+
+    /// Replaces a run by the next one, and ends it with `cause` and `outcome`.
+    fn replace(&self, run: &mut Run, next: Run, cause: &'static str, outcome: Outcome) {
+        self.log_run_end(run, End::Broken(cause));
+        std::mem::replace(run, next).abandon(outcome);
     }
 
     /// Passes events on to the caller; returns whether it is still there.
