quarantine: names say what the types hold

Witness, Blame, guilty and excused became Observations, Attribution, culprits and has_run_since; tests say quarantined in place of condemned. No change of behaviour; assertions are the same.

--- a/src/domain/fleet/quarantine.rs
+++ b/src/domain/fleet/quarantine.rs
@@ -10,7 +10,7 @@
 use super::Telemetry;
 use super::core::Core;
 use super::event::Action;
-use crate::domain::quarantine::Blame;
+use crate::domain::quarantine::Attribution;
 use crate::domain::quarantine::Evidence;
 
 /// Shortest interval between two decisions, while new evidence arrives.
@@ -28,7 +28,7 @@
 /// Evidence against prompt parts, at the leader.
 #[derive(Default)]
 pub(super) struct Quarantine {
-    blame: Blame,
+    attribution: Attribution,
     /// Parts outside quarantine that gateways are asked about.
     suspects: Vec<String>,
     /// When evidence arrived last that may change a decision.
@@ -44,7 +44,7 @@
 impl Quarantine {
     /// Records evidence that has just arrived.
     pub(super) fn record(&mut self, now: Duration, evidence: &Evidence) {
-        if self.blame.record(now, evidence) {
+        if self.attribution.record(now, evidence) {
             self.changed_at = Some(now);
         }
     }
@@ -59,27 +59,27 @@
     fn decide(&mut self, now: Duration, held: &BTreeMap<String, u64>) -> Vec<Command> {
         let is_settling = self.changed_at.is_some_and(|at| now < at + SETTLING_TIME);
         let interval = if is_settling { BUSY_INTERVAL } else { IDLE_INTERVAL };
-        if now < self.decided_at + interval || (held.is_empty() && self.blame.is_empty()) {
+        if now < self.decided_at + interval || (held.is_empty() && self.attribution.is_empty()) {
             return Vec::new();
         }
         self.decided_at = now;
-        self.blame.expire(now);
-        self.suspects = self.blame.suspects(now);
+        self.attribution.expire(now);
+        self.suspects = self.attribution.suspects(now);
         self.pending.retain(|_, at| now < *at + PROPOSAL_TIMEOUT);
         self.update_held(now, held);
         let is_idle = |part: &String| {
             let since = self.held_since[part];
-            now >= since + RELEASE_TIME || self.blame.is_excused(part, since)
+            now >= since + RELEASE_TIME || self.attribution.has_run_since(part, since)
         };
         let released = held.keys().filter(|part| is_idle(part)).cloned();
         let mut commands: Vec<Command> = released.map(|part| Command::Release { part }).collect();
         // A part that left the quarantine to make room stays out of it until it is in another crash.
         let is_new = |part: &String| {
             let known = self.held_since.get(part);
-            !held.contains_key(part) && known.is_none_or(|at| self.blame.latest_crash(part) > Some(*at))
+            !held.contains_key(part) && known.is_none_or(|at| self.attribution.latest_crash(part) > Some(*at))
         };
-        let guilty = self.blame.guilty(now).into_iter().filter(is_new);
-        commands.extend(guilty.map(|part| Command::Quarantine { part }));
+        let culprits = self.attribution.culprits(now).into_iter().filter(is_new);
+        commands.extend(culprits.map(|part| Command::Quarantine { part }));
         commands.retain(|command| match command {
             Command::Quarantine { part } | Command::Release { part } => !self.pending.contains_key(part),
             _ => true,
@@ -95,7 +95,11 @@
     fn update_held(&mut self, now: Duration, held: &BTreeMap<String, u64>) {
         for part in held.keys() {
             let since = self.held_since.entry(part.clone()).or_insert(now);
-            *since = self.blame.latest_crash(part).unwrap_or_default().max(*since);
+            *since = self
+                .attribution
+                .latest_crash(part)
+                .unwrap_or_default()
+                .max(*since);
         }
         self.held_since
             .retain(|part, since| held.contains_key(part) || now < *since + RELEASE_TIME);
@@ -115,7 +119,7 @@
         let held = &self.state.quarantined;
         for part in held.keys().filter(|part| !previous.contains_key(*part)) {
             self.quarantine.pending.remove(part);
-            let targets = self.quarantine.blame.targets(part);
+            let targets = self.quarantine.attribution.targets(part);
             out.push(Action::Telemetry(Telemetry::Quarantined {
                 part: part.clone(),
                 targets: targets.into_iter().map(str::to_owned).collect(),
--- a/src/domain/fleet/routing.rs
+++ b/src/domain/fleet/routing.rs
@@ -69,7 +69,7 @@
     /// Age of this information when the report arrived, in milliseconds: the time since the controller
     /// that answers asked the leader for it.
     pub age_ms: u64,
-    /// Prompt parts that gateways are asked about: those that may be to blame for crashes, and those in
+    /// Prompt parts that gateways are asked about: those that may have caused crashes, and those in
     /// quarantine.
     #[serde(default)]
     pub suspects: Vec<String>,
--- a/src/domain/quarantine/blame.rs
+++ b/src/domain/quarantine/attribution.rs
@@ -13,14 +13,14 @@
 
 use super::report::Evidence;
 
-/// Incidents that a part must explain to be guilty.
-const GUILTY_INCIDENTS: usize = 3;
+/// Incidents that a part must explain to be a culprit.
+const MIN_INCIDENTS: usize = 3;
 /// Incidents of a part within this time of the first of them count once: one outage may end many
 /// processes at the same time.
 const OUTAGE_MS: i64 = 250;
-/// Time from the report of a part's second incident until it can be guilty: gateways are asked first
+/// Time from the report of a part's second incident until it can be a culprit: gateways are asked first
 /// whether it has run soundly since.
-const INQUIRY_TIME: Duration = Duration::from_millis(500);
+const QUERY_TIME: Duration = Duration::from_millis(500);
 /// Time for which incidents and sound runs count, in milliseconds.
 const EXPIRY_MS: i64 = 5 * 60 * 1_000;
 /// Incidents that are kept; the latest.
@@ -57,15 +57,15 @@
 
 /// Crashes and sound runs that gateways have reported.
 #[derive(Clone, Debug, Default)]
-pub struct Blame {
+pub struct Attribution {
     /// By target and incarnation.
     incidents: BTreeMap<(String, u64), Incident>,
     /// Time of the latest sound run by part.
     sound: BTreeMap<String, i64>,
 }
 
-impl Blame {
-    /// Records evidence that has just arrived; returns whether the result of [`Blame::guilty`] may change.
+impl Attribution {
+    /// Records evidence that has just arrived; returns whether the result of [`Attribution::culprits`] may change.
     pub fn record(&mut self, now: Duration, evidence: &Evidence) -> bool {
         let mut is_new = false;
         for crash in &evidence.crashes {
@@ -110,8 +110,8 @@
     }
 
     /// Parts that explain enough incidents, the best explanation first.
-    pub fn guilty(&self, now: Duration) -> Vec<String> {
-        let mut guilty = Vec::new();
+    pub fn culprits(&self, now: Duration) -> Vec<String> {
+        let mut culprits = Vec::new();
         let mut incidents: Vec<&Incident> = self.incidents.values().collect();
         incidents.sort_by_key(|i| i.at);
         let mut by_part = self.counted(&incidents);
@@ -119,7 +119,7 @@
         loop {
             by_part.retain(|_, positions| {
                 positions.retain(|(p, _)| !is_explained[*p]);
-                outages(positions.iter().map(|(p, _)| incidents[*p].at)) >= GUILTY_INCIDENTS
+                outages(positions.iter().map(|(p, _)| incidents[*p].at)) >= MIN_INCIDENTS
             });
             let candidates = by_part.iter().map(|(part, positions)| Candidate {
                 part,
@@ -132,15 +132,15 @@
                 count: outages(positions.iter().map(|(p, _)| incidents[*p].at)),
             });
             let Some(best) = candidates.reduce(better) else {
-                return guilty;
+                return culprits;
             };
             let positions = by_part.remove(best.part).unwrap_or_default();
             let mut heard_at: Vec<Duration> = positions.iter().map(|(p, _)| incidents[*p].heard_at).collect();
             heard_at.sort_unstable();
-            // Until the gateways have been asked, the part is not guilty, nor is another one in its place.
+            // Until the gateways have been asked, the part is no culprit, nor is another one in its place.
             // After its first incident it may not have been among those asked about.
-            if now >= heard_at[1] + INQUIRY_TIME {
-                guilty.push(best.part.to_owned());
+            if now >= heard_at[1] + QUERY_TIME {
+                culprits.push(best.part.to_owned());
             }
             for (position, _) in positions {
                 is_explained[position] = true;
@@ -148,7 +148,7 @@
         }
     }
 
-    /// Parts to ask gateways about: those in crashes that no later sound run excuses, those in most
+    /// Parts to ask gateways about: those in crashes that no later sound run clears, those in most
     /// crashes first, then those in the latest.
     pub fn suspects(&self, _now: Duration) -> Vec<String> {
         let mut incidents: Vec<&Incident> = self.incidents.values().collect();
@@ -188,7 +188,7 @@
     }
 
     /// Whether a part has run soundly after its latest crash; without one, after `since`.
-    pub fn is_excused(&self, part: &str, since: Duration) -> bool {
+    pub fn has_run_since(&self, part: &str, since: Duration) -> bool {
         let Some(sound) = self.sound.get(part) else {
             return false;
         };
--- a/src/domain/quarantine/mod.rs
+++ b/src/domain/quarantine/mod.rs
@@ -1,15 +1,15 @@
 //! Prompt parts that end every upstream that answers them.
 //!
-//! Gateways witness crashes of targets and sound runs of prompt parts; the leader weighs the evidence of
-//! all of them. A part is guilty when it explains several crashes that nothing else explains better, and
+//! Gateways observe crashes of targets and sound runs of prompt parts; the leader weighs the evidence of
+//! all of them. A part is a culprit when it explains several crashes that nothing else explains better, and
 //! has not run soundly since. Requests of many callers share parts and targets, so a part is never
-//! blamed for being in a crash once.
+//! a culprit for being in a crash once.
 
-mod blame;
+mod attribution;
+mod observations;
 mod report;
-mod witness;
 
-pub use blame::Blame;
+pub use attribution::Attribution;
+pub use observations::Observations;
 pub use report::Crash;
 pub use report::Evidence;
-pub use witness::Witness;
--- a/src/domain/quarantine/witness.rs
+++ b/src/domain/quarantine/observations.rs
@@ -23,7 +23,7 @@
 
 /// Crashes and sound runs that one gateway has seen.
 #[derive(Clone, Debug, Default)]
-pub struct Witness {
+pub struct Observations {
     /// Latest crashes, the oldest first.
     crashes: Vec<Casualty>,
     /// Latest sound run of each part. Once full, it replaces `earlier_sound`, which drops the parts that
@@ -32,7 +32,7 @@
     earlier_sound: HashMap<String, Duration>,
 }
 
-impl Witness {
+impl Observations {
     /// Records a request that was in progress at a target when its process ended, unless the request has
     /// shown by then that it is sound.
     pub fn record_crash(&mut self, now: Duration, target: &str, incarnation: u64, parts: &[String]) {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -26,7 +26,7 @@
 use crate::domain::gateway::Demand;
 use crate::domain::gateway::Settings;
 use crate::domain::quarantine::Evidence;
-use crate::domain::quarantine::Witness;
+use crate::domain::quarantine::Observations;
 
 /// The catalog's lease ends this long before `revocation_ms`, the time after which a withdrawn key must
 /// not work anywhere, so that requests admitted last still reach their upstream in time.
@@ -53,7 +53,7 @@
     budget: Mutex<Budget>,
     demand: Mutex<Demand>,
     heartbeats: Mutex<Heartbeats>,
-    witness: Mutex<Witness>,
+    observations: Mutex<Observations>,
     quarantine: RwLock<Quarantine>,
     checks: Mutex<Checks>,
     catalog: Mutex<Option<Arc<Catalog>>>,
@@ -86,7 +86,7 @@
             budget: Mutex::default(),
             demand: Mutex::default(),
             heartbeats: Mutex::default(),
-            witness: Mutex::default(),
+            observations: Mutex::default(),
             quarantine: RwLock::default(),
             checks: Mutex::default(),
             catalog: Mutex::default(),
@@ -178,14 +178,14 @@
         self.heartbeats.lock().expect("no panic under this lock")
     }
 
-    pub(super) fn witness(&self) -> MutexGuard<'_, Witness> {
-        self.witness.lock().expect("no panic under this lock")
+    pub(super) fn observations(&self) -> MutexGuard<'_, Observations> {
+        self.observations.lock().expect("no panic under this lock")
     }
 
     /// Evidence for the next report.
     pub(super) fn evidence(&self, now: Duration) -> Evidence {
         let quarantine = self.quarantine.read().expect("no panic under this lock");
-        self.witness().evidence(now, &quarantine.suspects)
+        self.observations().evidence(now, &quarantine.suspects)
     }
 
     /// First of `parts` that is in quarantine.
--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -85,7 +85,7 @@
 
 fn record_sound(context: &Context, request: &Request) {
     if !request.parts.is_empty() {
-        context.witness().record_sound(clock::now(), &request.parts);
+        context.observations().record_sound(clock::now(), &request.parts);
     }
 }
 
@@ -126,9 +126,9 @@
         return;
     }
     let (id, incarnation) = key;
-    let mut witness = context.witness();
+    let mut observations = context.observations();
     for parts in waiting {
-        witness.record_crash(clock::now(), &id, incarnation, &parts);
+        observations.record_crash(clock::now(), &id, incarnation, &parts);
     }
 }
 
--- a/tests/controllers/mod.rs
+++ b/tests/controllers/mod.rs
@@ -19,7 +19,7 @@
 use heatherramp::domain::fleet::Report;
 use heatherramp::domain::fleet::Telemetry;
 use heatherramp::domain::fleet::Timing;
-use heatherramp::domain::quarantine::Witness;
+use heatherramp::domain::quarantine::Observations;
 
 pub const STEP_MS: u64 = 20;
 pub const NAMES: [&str; 3] = ["10.0.0.1:7400", "10.0.0.2:7400", "10.0.0.3:7400"];
@@ -35,7 +35,7 @@
 /// Gateway, and what the leader last named to it.
 #[derive(Default)]
 pub struct Gateway {
-    pub witness: Witness,
+    pub observations: Observations,
     pub suspects: Vec<String>,
     pub quarantined: Vec<String>,
 }
@@ -170,7 +170,7 @@
         let gateway = &self.gateways[index];
         let report = Report {
             gateway: format!("g{index}"),
-            evidence: gateway.witness.evidence(now, &gateway.suspects),
+            evidence: gateway.observations.evidence(now, &gateway.suspects),
             ..Report::default()
         };
         let answers = self.relays[index].step(now, Input::Report(1, Box::new(report)));
@@ -211,13 +211,15 @@
     pub fn crash(&mut self, gateway: usize, target: &str, parts: &[&str]) {
         let now = ms(self.now);
         self.gateways[gateway]
-            .witness
+            .observations
             .record_crash(now, target, 1, &strings(parts));
     }
 
     pub fn run_soundly(&mut self, gateway: usize, parts: &[&str]) {
         let now = ms(self.now);
-        self.gateways[gateway].witness.record_sound(now, &strings(parts));
+        self.gateways[gateway]
+            .observations
+            .record_sound(now, &strings(parts));
     }
 
     pub fn quarantined(&self) -> Vec<&str> {
@@ -235,7 +237,7 @@
     }
 
     /// Crashes with the bad part, seen by different gateways, until it is in quarantine.
-    pub fn condemn(&mut self, bad: &str) {
+    pub fn quarantine(&mut self, bad: &str) {
         for i in 0..3 {
             let gateway = i % self.gateways.len();
             self.crash(gateway, &format!("{bad}-t{i}"), &["first", bad]);
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -6,10 +6,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use heatherramp::domain::quarantine::Blame;
+use heatherramp::domain::quarantine::Attribution;
 use heatherramp::domain::quarantine::Crash;
 use heatherramp::domain::quarantine::Evidence;
-use heatherramp::domain::quarantine::Witness;
+use heatherramp::domain::quarantine::Observations;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -42,30 +42,34 @@
     }
 }
 
-/// Blame after crashes of different targets, with requests that have these parts.
-fn blame_after(incidents: &[(u64, &[&[&str]])]) -> Blame {
-    let mut blame = Blame::default();
+/// Attribution after crashes of different targets, with requests that have these parts.
+fn attribution_after(incidents: &[(u64, &[&[&str]])]) -> Attribution {
+    let mut attribution = Attribution::default();
     for (i, (at, requests)) in incidents.iter().enumerate() {
         let target = format!("t{i}");
         let crashed = requests.iter().map(|parts| crash(&target, 1, parts));
-        blame.record(ms(*at), &crashes(crashed.collect()));
+        attribution.record(ms(*at), &crashes(crashed.collect()));
     }
-    blame
+    attribution
 }
 
 #[test]
 fn crashes_that_different_gateways_saw_add_up() {
-    let mut witnesses = [Witness::default(), Witness::default(), Witness::default()];
-    let mut blame = Blame::default();
-    for (i, witness) in witnesses.iter_mut().enumerate() {
+    let mut observations = [
+        Observations::default(),
+        Observations::default(),
+        Observations::default(),
+    ];
+    let mut attribution = Attribution::default();
+    for (i, observations) in observations.iter_mut().enumerate() {
         let at = ms(i as u64 * 500);
-        witness.record_crash(at, &format!("t{i}"), 1, &strings(&["first", "bad"]));
+        observations.record_crash(at, &format!("t{i}"), 1, &strings(&["first", "bad"]));
     }
-    let evidence: Vec<Evidence> = witnesses.iter().map(|w| w.evidence(ms(1_500), &[])).collect();
+    let evidence: Vec<Evidence> = observations.iter().map(|w| w.evidence(ms(1_500), &[])).collect();
     let merged = Evidence::merged(evidence.iter().map(|e| (e, ms(20))));
-    blame.record(ms(9_020), &merged);
-    assert_eq!(blame.guilty(ms(9_520)), ["bad"]);
-    assert_eq!(blame.latest_crash("bad"), Some(ms(8_500)));
+    attribution.record(ms(9_020), &merged);
+    assert_eq!(attribution.culprits(ms(9_520)), ["bad"]);
+    assert_eq!(attribution.latest_crash("bad"), Some(ms(8_500)));
 }
 
 #[test]
@@ -97,55 +101,55 @@
 }
 
 #[test]
-fn a_witness_reports_a_crash_for_five_seconds_with_its_age() {
-    let mut witness = Witness::default();
-    witness.record_crash(ms(1_000), "t", 7, &strings(&["first", "bad"]));
-    witness.record_crash(ms(1_100), "t", 7, &strings(&["first"]));
-    let evidence = witness.evidence(ms(3_000), &[]);
+fn a_gateway_reports_a_crash_for_five_seconds_with_its_age() {
+    let mut observations = Observations::default();
+    observations.record_crash(ms(1_000), "t", 7, &strings(&["first", "bad"]));
+    observations.record_crash(ms(1_100), "t", 7, &strings(&["first"]));
+    let evidence = observations.evidence(ms(3_000), &[]);
     let expected = Crash {
         age_ms: 2_000,
         ..crash("t", 7, &["first", "bad"])
     };
     assert_eq!(evidence.crashes, [expected]);
-    assert_eq!(witness.evidence(ms(6_000), &[]).crashes.len(), 1);
-    assert!(witness.evidence(ms(6_001), &[]).crashes.is_empty());
+    assert_eq!(observations.evidence(ms(6_000), &[]).crashes.len(), 1);
+    assert!(observations.evidence(ms(6_001), &[]).crashes.is_empty());
 }
 
 #[test]
-fn a_witness_reports_sound_runs_only_of_the_parts_that_it_is_asked_about() {
-    let mut witness = Witness::default();
-    witness.record_sound(ms(1_000), &strings(&["first", "other"]));
-    witness.record_sound(ms(1_500), &strings(&["first"]));
-    let evidence = witness.evidence(ms(2_000), &strings(&["first", "unknown"]));
+fn a_gateway_reports_sound_runs_only_of_the_parts_that_it_is_asked_about() {
+    let mut observations = Observations::default();
+    observations.record_sound(ms(1_000), &strings(&["first", "other"]));
+    observations.record_sound(ms(1_500), &strings(&["first"]));
+    let evidence = observations.evidence(ms(2_000), &strings(&["first", "unknown"]));
     assert_eq!(evidence.sound, BTreeMap::from([("first".to_owned(), 500)]));
 }
 
 #[test]
-fn a_witness_keeps_the_parts_that_ran_last_and_a_bounded_number() {
-    let mut witness = Witness::default();
+fn a_gateway_keeps_the_parts_that_ran_last_and_a_bounded_number() {
+    let mut observations = Observations::default();
     let all: Vec<String> = (0..20_000).map(|i| format!("p{i}")).collect();
     for (i, part) in all.iter().enumerate() {
         let parts = ["first".to_owned(), part.clone()];
-        witness.record_sound(ms(i as u64), &parts);
+        observations.record_sound(ms(i as u64), &parts);
     }
-    let known = witness.evidence(ms(20_000), &all).sound;
+    let known = observations.evidence(ms(20_000), &all).sound;
     assert!((2_000..=4_096).contains(&known.len()), "{} parts", known.len());
     assert!(all[18_000..].iter().all(|part| known.contains_key(part)));
     assert_eq!(
-        witness.evidence(ms(20_000), &strings(&["first"])).sound["first"],
+        observations.evidence(ms(20_000), &strings(&["first"])).sound["first"],
         1
     );
 }
 
 #[test]
 fn a_crash_with_many_requests_does_not_displace_the_crashes_of_other_targets() {
-    let mut witness = Witness::default();
-    witness.record_crash(ms(0), "one", 1, &strings(&["first", "bad"]));
+    let mut observations = Observations::default();
+    observations.record_crash(ms(0), "one", 1, &strings(&["first", "bad"]));
     for i in 0..200 {
-        witness.record_crash(ms(10), "many", 1, &["first".to_owned(), format!("p{i}")]);
+        observations.record_crash(ms(10), "many", 1, &["first".to_owned(), format!("p{i}")]);
     }
-    witness.record_crash(ms(20), "two", 1, &strings(&["first", "bad"]));
-    let evidence = witness.evidence(ms(20), &[]);
+    observations.record_crash(ms(20), "two", 1, &strings(&["first", "bad"]));
+    let evidence = observations.evidence(ms(20), &[]);
     assert_eq!(evidence.crashes.len(), 64);
     for target in ["one", "two"] {
         let count = evidence.crashes.iter().filter(|c| c.target == target).count();
@@ -156,71 +160,74 @@
 #[test]
 fn crashes_expire_after_five_minutes() {
     let bad: &[&[&str]] = &[&["first", "bad"]];
-    let mut blame = blame_after(&[(0, bad), (1_000, bad), (2_000, bad)]);
-    blame.expire(ms(300_000));
-    assert_eq!(blame.guilty(ms(300_000)), ["bad"]);
-    blame.expire(ms(300_001));
-    assert!(blame.guilty(ms(300_001)).is_empty());
+    let mut attribution = attribution_after(&[(0, bad), (1_000, bad), (2_000, bad)]);
+    attribution.expire(ms(300_000));
+    assert_eq!(attribution.culprits(ms(300_000)), ["bad"]);
+    attribution.expire(ms(300_001));
+    assert!(attribution.culprits(ms(300_001)).is_empty());
     let ancient = Crash {
         age_ms: 300_001,
         ..crash("t9", 1, &["bad"])
     };
-    blame.record(ms(300_001), &crashes(vec![ancient]));
-    assert!(blame.guilty(ms(301_000)).is_empty(), "an expired crash came back");
-    blame.expire(ms(400_000));
-    assert!(blame.is_empty());
+    attribution.record(ms(300_001), &crashes(vec![ancient]));
+    assert!(
+        attribution.culprits(ms(301_000)).is_empty(),
+        "an expired crash came back"
+    );
+    attribution.expire(ms(400_000));
+    assert!(attribution.is_empty());
 }
 
 #[test]
 fn the_leader_keeps_the_latest_incidents_and_asks_about_few_parts() {
-    let mut blame = Blame::default();
+    let mut attribution = Attribution::default();
     for i in 0..2_000u64 {
         let parts: Vec<String> = (0..100).map(|p| format!("p{p}-{i}")).collect();
         let mut crashed = crash(&format!("t{i}"), 1, &[]);
         crashed.parts = parts;
-        blame.record(ms(i * 10), &crashes(vec![crashed]));
+        attribution.record(ms(i * 10), &crashes(vec![crashed]));
     }
-    let known = |i: u64| !blame.targets(&format!("p0-{i}")).is_empty();
+    let known = |i: u64| !attribution.targets(&format!("p0-{i}")).is_empty();
     assert!(known(1_999) && known(1_488) && !known(1_487));
     assert!(
-        blame.targets("p99-1999").is_empty(),
+        attribution.targets("p99-1999").is_empty(),
         "an incident has over 64 parts"
     );
-    assert_eq!(blame.suspects(ms(20_000)).len(), 32);
-    assert!(blame.guilty(ms(30_000)).is_empty());
+    assert_eq!(attribution.suspects(ms(20_000)).len(), 32);
+    assert!(attribution.culprits(ms(30_000)).is_empty());
 }
 
 #[test]
 fn the_parts_in_most_crashes_are_asked_about_first() {
-    let mut blame = Blame::default();
+    let mut attribution = Attribution::default();
     for i in 0..40u64 {
         let own = format!("a{i}");
-        blame.record(
+        attribution.record(
             ms(i * 1_000),
             &crashes(vec![crash(&format!("t{i}"), 1, &["first", &own, "z-bad"])]),
         );
     }
-    assert_eq!(blame.suspects(ms(40_000))[..2], ["first", "z-bad"]);
-    blame.record(ms(41_000), &sound(&["first"]));
-    let suspects = blame.suspects(ms(41_000));
+    assert_eq!(attribution.suspects(ms(40_000))[..2], ["first", "z-bad"]);
+    attribution.record(ms(41_000), &sound(&["first"]));
+    let suspects = attribution.suspects(ms(41_000));
     assert_eq!(suspects[0], "z-bad");
     assert!(
         !suspects.contains(&"first".to_owned()),
-        "an excused part is asked about"
+        "an cleared part is asked about"
     );
 }
 
 #[test]
 fn a_crash_that_another_gateway_saw_earlier_counts_from_then() {
-    let mut blame = Blame::default();
-    blame.record(ms(5_000), &crashes(vec![crash("t", 1, &["first"])]));
+    let mut attribution = Attribution::default();
+    attribution.record(ms(5_000), &crashes(vec![crash("t", 1, &["first"])]));
     let earlier = Crash {
         age_ms: 400,
         ..crash("t", 1, &["first"])
     };
     assert!(
-        blame.record(ms(5_200), &crashes(vec![earlier])),
+        attribution.record(ms(5_200), &crashes(vec![earlier])),
         "not taken for new evidence"
     );
-    assert_eq!(blame.latest_crash("first"), Some(ms(4_800)));
+    assert_eq!(attribution.latest_crash("first"), Some(ms(4_800)));
 }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use heatherramp::domain::quarantine::Blame;
+use heatherramp::domain::quarantine::Attribution;
 use heatherramp::domain::quarantine::Crash;
 use heatherramp::domain::quarantine::Evidence;
 use proptest::prelude::*;
@@ -50,90 +50,93 @@
     parts
 }
 
-/// Blame after crashes of different targets, with requests that have these parts.
-fn blame_after(incidents: &[(u64, &[&[&str]])]) -> Blame {
-    let mut blame = Blame::default();
+/// Attribution after crashes of different targets, with requests that have these parts.
+fn attribution_after(incidents: &[(u64, &[&[&str]])]) -> Attribution {
+    let mut attribution = Attribution::default();
     for (i, (at, requests)) in incidents.iter().enumerate() {
         let target = format!("t{i}");
         let crashed = requests.iter().map(|parts| crash(&target, 1, parts));
-        blame.record(ms(*at), &crashes(crashed.collect()));
+        attribution.record(ms(*at), &crashes(crashed.collect()));
     }
-    blame
+    attribution
 }
 
 #[test]
-fn a_part_is_guilty_from_three_crashes_on_and_not_before() {
+fn a_part_is_a_culprit_from_three_crashes_on_and_not_before() {
     let bad: &[&[&str]] = &[&["first", "bad"]];
-    let two = blame_after(&[(0, bad), (1_000, bad)]);
-    assert!(two.guilty(ms(5_000)).is_empty(), "condemned after two crashes");
-    let three = blame_after(&[(0, bad), (1_000, bad), (2_000, bad)]);
-    assert_eq!(three.guilty(ms(2_000)), ["bad"]);
+    let two = attribution_after(&[(0, bad), (1_000, bad)]);
+    assert!(
+        two.culprits(ms(5_000)).is_empty(),
+        "quarantined after two crashes"
+    );
+    let three = attribution_after(&[(0, bad), (1_000, bad), (2_000, bad)]);
+    assert_eq!(three.culprits(ms(2_000)), ["bad"]);
 }
 
 #[test]
-fn the_first_part_of_all_prompts_is_not_condemned_with_the_bad_one_when_it_runs_soundly_in_between() {
-    let mut blame = Blame::default();
+fn the_first_part_of_all_prompts_is_not_quarantined_with_the_bad_one_when_it_runs_soundly_in_between() {
+    let mut attribution = Attribution::default();
     for i in 0..20u64 {
         let target = format!("t{i}");
-        blame.record(
+        attribution.record(
             ms(i * 600),
             &crashes(vec![crash(&target, 1, &["first", "bad", "rest"])]),
         );
-        blame.record(ms(i * 600 + 100), &sound(&["first", "rest"]));
+        attribution.record(ms(i * 600 + 100), &sound(&["first", "rest"]));
     }
-    assert_eq!(blame.guilty(ms(20_000)), ["bad"]);
+    assert_eq!(attribution.culprits(ms(20_000)), ["bad"]);
 }
 
 #[test]
-fn the_first_part_of_all_prompts_is_not_condemned_when_its_last_sound_run_was_before_the_crashes() {
-    let mut blame = Blame::default();
-    blame.record(ms(0), &sound(&["first"]));
+fn the_first_part_of_all_prompts_is_not_quarantined_when_its_last_sound_run_was_before_the_crashes() {
+    let mut attribution = Attribution::default();
+    attribution.record(ms(0), &sound(&["first"]));
     for i in 1..=4u64 {
-        blame.record(
+        attribution.record(
             ms(i * 1_000),
             &crashes(vec![crash(&format!("t{i}"), 1, &["first", "a-bad"])]),
         );
     }
-    assert_eq!(blame.guilty(ms(9_000)), ["a-bad"]);
+    assert_eq!(attribution.culprits(ms(9_000)), ["a-bad"]);
 }
 
 #[test]
-fn the_first_part_of_all_prompts_is_not_condemned_after_a_restart_of_everything_without_sound_runs() {
+fn the_first_part_of_all_prompts_is_not_quarantined_after_a_restart_of_everything_without_sound_runs() {
     let request: &[&[&str]] = &[&["first", "z-bad"], &["first"], &["first", "other"]];
-    let blame = blame_after(&[(0, request), (700, request), (1_400, &[&["first", "z-bad"]])]);
-    assert_eq!(blame.guilty(ms(5_000)), ["z-bad"]);
+    let attribution = attribution_after(&[(0, request), (700, request), (1_400, &[&["first", "z-bad"]])]);
+    assert_eq!(attribution.culprits(ms(5_000)), ["z-bad"]);
 }
 
 #[test]
 fn the_bad_part_may_be_the_first_one() {
-    let blame = blame_after(&[
+    let attribution = attribution_after(&[
         (0, &[&["bad", "x"]]),
         (1_000, &[&["bad", "y"]]),
         (2_000, &[&["bad", "z"]]),
     ]);
-    assert_eq!(blame.guilty(ms(5_000)), ["bad"]);
+    assert_eq!(attribution.culprits(ms(5_000)), ["bad"]);
 }
 
 #[test]
-fn of_parts_in_the_same_crashes_the_one_that_ran_soundly_last_is_not_condemned() {
-    let mut blame = Blame::default();
+fn of_parts_in_the_same_crashes_the_one_that_ran_soundly_last_is_not_quarantined() {
+    let mut attribution = Attribution::default();
     let evidence = Evidence {
         sound: BTreeMap::from([("bad".to_owned(), 30_000), ("another".to_owned(), 100)]),
         ..Evidence::default()
     };
-    blame.record(ms(60_000), &evidence);
+    attribution.record(ms(60_000), &evidence);
     for i in 0..3u64 {
         let crashed = crash(&format!("t{i}"), 1, &["bad", "another"]);
-        blame.record(ms(61_000 + i * 600), &crashes(vec![crashed]));
+        attribution.record(ms(61_000 + i * 600), &crashes(vec![crashed]));
     }
-    assert_eq!(blame.guilty(ms(65_000)), ["bad"]);
+    assert_eq!(attribution.culprits(ms(65_000)), ["bad"]);
 }
 
 #[test]
-fn bystanders_in_many_crashes_are_not_condemned_with_the_bad_part() {
+fn bystanders_in_many_crashes_are_not_quarantined_with_the_bad_part() {
     // The bystander is in five of the six crashes, and never runs to its first events.
     let both: &[&[&str]] = &[&["first", "bad"], &["first", "a-bystander"]];
-    let blame = blame_after(&[
+    let attribution = attribution_after(&[
         (0, both),
         (1_000, both),
         (2_000, &[&["first", "bad"]]),
@@ -141,96 +144,102 @@
         (4_000, both),
         (5_000, both),
     ]);
-    assert_eq!(blame.guilty(ms(9_000)), ["bad"]);
+    assert_eq!(attribution.culprits(ms(9_000)), ["bad"]);
 }
 
 #[test]
 fn the_asked_sound_run_of_a_bystander_decides_between_it_and_the_bad_part() {
     // In the same crashes, at the same place and with the lower name: only sound runs tell them apart.
     let both: &[&[&str]] = &[&["first", "bad"], &["first", "another"]];
-    let mut blame = blame_after(&[(0, both), (300, both)]);
-    assert_eq!(blame.suspects(ms(400)), ["another", "bad", "first"]);
-    blame.record(ms(450), &sound(&["another", "first"]));
-    blame.record(ms(600), &crashes(vec![crash("t9", 1, &["first", "bad"])]));
-    blame.record(ms(600), &crashes(vec![crash("t9", 1, &["first", "another"])]));
-    assert_eq!(blame.guilty(ms(5_000)), ["bad"]);
+    let mut attribution = attribution_after(&[(0, both), (300, both)]);
+    assert_eq!(attribution.suspects(ms(400)), ["another", "bad", "first"]);
+    attribution.record(ms(450), &sound(&["another", "first"]));
+    attribution.record(ms(600), &crashes(vec![crash("t9", 1, &["first", "bad"])]));
+    attribution.record(ms(600), &crashes(vec![crash("t9", 1, &["first", "another"])]));
+    assert_eq!(attribution.culprits(ms(5_000)), ["bad"]);
 }
 
 #[test]
-fn one_outage_of_an_availability_zone_condemns_nothing() {
-    let mut blame = Blame::default();
+fn one_outage_of_an_availability_zone_quarantines_nothing() {
+    let mut attribution = Attribution::default();
     for i in 0..40u64 {
         let evidence = crashes(vec![crash(&format!("t{i}"), 1, &["first", "hot", "hotter"])]);
-        blame.record(ms(10_000 + i * 6), &evidence);
+        attribution.record(ms(10_000 + i * 6), &evidence);
     }
     for now in [10_300, 11_000, 15_000] {
-        assert!(blame.guilty(ms(now)).is_empty(), "an outage condemned a part");
+        assert!(
+            attribution.culprits(ms(now)).is_empty(),
+            "an outage quarantined a part"
+        );
     }
 }
 
 #[test]
 fn crashes_at_a_steady_rate_are_not_taken_for_one_outage() {
-    let mut blame = Blame::default();
+    let mut attribution = Attribution::default();
     for i in 0..8u64 {
-        blame.record(
+        attribution.record(
             ms(i * 100),
             &crashes(vec![crash(&format!("t{i}"), 1, &["first", "bad"])]),
         );
     }
-    assert_eq!(blame.guilty(ms(800)), ["bad"]);
+    assert_eq!(attribution.culprits(ms(800)), ["bad"]);
 }
 
 #[test]
-fn nothing_is_condemned_before_gateways_were_asked_for_sound_runs() {
+fn nothing_is_quarantined_before_gateways_were_asked_for_sound_runs() {
     // A new leader hears of all the crashes of the last seconds at once.
-    let mut blame = Blame::default();
+    let mut attribution = Attribution::default();
     let old = |target: &str, age_ms| Crash {
         age_ms,
         ..crash(target, 1, &["first"])
     };
-    blame.record(
+    attribution.record(
         ms(0),
         &crashes(vec![old("a", 4_000), old("b", 2_500), old("c", 1_000)]),
     );
-    assert_eq!(blame.suspects(ms(0)), ["first"]);
-    assert!(blame.guilty(ms(ANSWERED_MS - 1)).is_empty(), "condemned unasked");
-    let mut unasked = blame.clone();
+    assert_eq!(attribution.suspects(ms(0)), ["first"]);
+    assert!(
+        attribution.culprits(ms(ANSWERED_MS - 1)).is_empty(),
+        "quarantined unasked"
+    );
+    let mut unasked = attribution.clone();
     let evidence = Evidence {
         sound: BTreeMap::from([("first".to_owned(), 500)]),
         ..Evidence::default()
     };
     unasked.record(ms(200), &evidence);
     assert!(
-        unasked.guilty(ms(9_000)).is_empty(),
-        "condemned against a sound run"
+        unasked.culprits(ms(9_000)).is_empty(),
+        "quarantined against a sound run"
     );
-    assert_eq!(blame.guilty(ms(ANSWERED_MS)), ["first"]);
+    assert_eq!(attribution.culprits(ms(ANSWERED_MS)), ["first"]);
 }
 
 #[test]
-fn a_part_of_one_earlier_crash_that_was_not_asked_about_is_not_condemned_unasked() {
-    let mut blame = Blame::default();
+fn a_part_of_one_earlier_crash_that_was_not_asked_about_is_not_quarantined_unasked() {
+    let mut attribution = Attribution::default();
     // Parts of the next crash, and only some of them are asked about.
     let many: Vec<String> = (0..40).map(|i| format!("a{i}")).collect();
     let mut crowd = crash("t0", 1, &["z"]);
     crowd.parts.extend(many);
-    blame.record(ms(0), &crashes(vec![crowd]));
-    assert!(!blame.suspects(ms(0)).contains(&"z".to_owned()));
-    blame.record(ms(60_000), &crashes(vec![crash("t1", 1, &["z"])]));
-    assert_eq!(blame.suspects(ms(60_000))[0], "z");
-    blame.record(ms(60_300), &crashes(vec![crash("t2", 1, &["z"])]));
-    assert!(blame.guilty(ms(60_300)).is_empty(), "condemned unasked");
-    assert_eq!(blame.guilty(ms(60_000 + ANSWERED_MS)), ["z"]);
+    attribution.record(ms(0), &crashes(vec![crowd]));
+    assert!(!attribution.suspects(ms(0)).contains(&"z".to_owned()));
+    attribution.record(ms(60_000), &crashes(vec![crash("t1", 1, &["z"])]));
+    assert_eq!(attribution.suspects(ms(60_000))[0], "z");
+    attribution.record(ms(60_300), &crashes(vec![crash("t2", 1, &["z"])]));
+    assert!(attribution.culprits(ms(60_300)).is_empty(), "quarantined unasked");
+    assert_eq!(attribution.culprits(ms(60_000 + ANSWERED_MS)), ["z"]);
 }
 
 #[test]
-fn a_run_before_the_start_of_the_leaders_process_excuses_no_later_crash() {
-    let mut blame = Blame::default();
+fn a_run_before_the_start_of_the_leaders_process_clears_no_later_crash() {
+    let mut attribution = Attribution::default();
     let old = |target: &str, age_ms| Crash {
         age_ms,
         ..crash(target, 1, &["first", "bad"])
     };
-    blame.record(
+    attribution.record(
         ms(100),
         &crashes(vec![old("a", 4_000), old("b", 3_000), old("c", 2_000)]),
     );
@@ -238,59 +247,62 @@
         sound: BTreeMap::from([("bad".to_owned(), 4_500), ("first".to_owned(), 1_500)]),
         ..Evidence::default()
     };
-    blame.record(ms(100), &evidence);
-    assert_eq!(blame.guilty(ms(900)), ["bad"]);
+    attribution.record(ms(100), &evidence);
+    assert_eq!(attribution.culprits(ms(900)), ["bad"]);
 }
 
 #[test]
-fn many_ordinary_crashes_condemn_no_part_that_also_runs_soundly() {
-    let mut blame = Blame::default();
+fn many_ordinary_crashes_quarantine_no_part_that_also_runs_soundly() {
+    let mut attribution = Attribution::default();
     for i in 0..400u64 {
         let (at, own) = (i * 350, format!("p{}", i % 7));
         let parts = ["first", "second", own.as_str()];
-        blame.record(ms(at), &crashes(vec![crash(&format!("t{}", i % 6), i, &parts)]));
-        blame.record(ms(at + 90), &sound(&parts));
-        assert!(blame.guilty(ms(at + 90)).is_empty(), "condemned at crash {i}");
-        blame.expire(ms(at));
+        attribution.record(ms(at), &crashes(vec![crash(&format!("t{}", i % 6), i, &parts)]));
+        attribution.record(ms(at + 90), &sound(&parts));
+        assert!(
+            attribution.culprits(ms(at + 90)).is_empty(),
+            "quarantined at crash {i}"
+        );
+        attribution.expire(ms(at));
     }
 }
 
 #[test]
-fn a_sound_run_after_the_conviction_releases_the_part() {
+fn a_sound_run_after_the_quarantine_releases_the_part() {
     let bad: &[&[&str]] = &[&["first", "bad"]];
-    let mut blame = blame_after(&[(0, bad), (1_000, bad), (2_000, bad)]);
-    assert_eq!(blame.guilty(ms(3_000)), ["bad"]);
-    assert!(!blame.is_excused("bad", ms(0)));
-    blame.record(ms(4_000), &sound(&["bad", "first"]));
-    assert!(blame.guilty(ms(4_000)).is_empty());
-    assert!(blame.is_excused("bad", ms(3_500)));
+    let mut attribution = attribution_after(&[(0, bad), (1_000, bad), (2_000, bad)]);
+    assert_eq!(attribution.culprits(ms(3_000)), ["bad"]);
+    assert!(!attribution.has_run_since("bad", ms(0)));
+    attribution.record(ms(4_000), &sound(&["bad", "first"]));
+    assert!(attribution.culprits(ms(4_000)).is_empty());
+    assert!(attribution.has_run_since("bad", ms(3_500)));
 }
 
 #[test]
 fn without_known_crashes_only_a_run_since_the_quarantine_excuses() {
-    let mut blame = Blame::default();
-    blame.record(ms(4_000), &sound(&["bad"]));
-    assert!(!blame.is_excused("bad", ms(4_000)));
-    assert!(blame.is_excused("bad", ms(3_999)));
-    assert!(!blame.is_excused("unknown", ms(0)));
+    let mut attribution = Attribution::default();
+    attribution.record(ms(4_000), &sound(&["bad"]));
+    assert!(!attribution.has_run_since("bad", ms(4_000)));
+    assert!(attribution.has_run_since("bad", ms(3_999)));
+    assert!(!attribution.has_run_since("unknown", ms(0)));
 }
 
 #[test]
-fn two_bad_parts_at_the_same_time_are_both_condemned_and_not_their_common_first_part() {
+fn two_bad_parts_at_the_same_time_are_both_quarantined_and_not_their_common_first_part() {
     let (one, two): (&[&[&str]], &[&[&str]]) = (&[&["first", "bad"]], &[&["first", "worse"]]);
-    let mut blame = Blame::default();
-    blame.record(ms(0), &sound(&["first"]));
+    let mut attribution = Attribution::default();
+    attribution.record(ms(0), &sound(&["first"]));
     for (i, requests) in [one, two, one, two, one, two].iter().enumerate() {
         let crashed = requests.iter().map(|parts| crash(&format!("t{i}"), 1, parts));
-        blame.record(ms(400 + 400 * i as u64), &crashes(crashed.collect()));
+        attribution.record(ms(400 + 400 * i as u64), &crashes(crashed.collect()));
     }
-    assert_eq!(sorted(blame.guilty(ms(5_000))), ["bad", "worse"]);
+    assert_eq!(sorted(attribution.culprits(ms(5_000))), ["bad", "worse"]);
 }
 
 #[test]
-fn two_bad_parts_after_a_restart_are_both_condemned_once_their_common_first_part_has_run() {
+fn two_bad_parts_after_a_restart_are_both_quarantined_once_their_common_first_part_has_run() {
     let (one, two): (&[&[&str]], &[&[&str]]) = (&[&["first", "bad"]], &[&["first", "worse"]]);
-    let mut blame = blame_after(&[
+    let mut attribution = attribution_after(&[
         (0, one),
         (400, two),
         (800, one),
@@ -298,13 +310,13 @@
         (1_600, one),
         (2_000, two),
     ]);
-    blame.record(ms(2_100), &sound(&["first"]));
-    assert_eq!(sorted(blame.guilty(ms(2_100))), ["bad", "worse"]);
+    attribution.record(ms(2_100), &sound(&["first"]));
+    assert_eq!(sorted(attribution.culprits(ms(2_100))), ["bad", "worse"]);
 }
 
 #[test]
 fn a_crash_that_is_reported_many_times_and_by_several_gateways_counts_once() {
-    let mut blame = Blame::default();
+    let mut attribution = Attribution::default();
     for report in 0..100u64 {
         let age_ms = report * 40;
         let of_gateway = |extra: &str| Crash {
@@ -312,14 +324,14 @@
             ..crash("t", 1, &["first", "bad", extra])
         };
         let evidence = crashes(vec![of_gateway("x"), of_gateway("y")]);
-        let is_new = blame.record(ms(1_000 + age_ms), &evidence);
+        let is_new = attribution.record(ms(1_000 + age_ms), &evidence);
         assert_eq!(is_new, report == 0, "a repeated report counts as new evidence");
     }
     assert!(
-        blame.guilty(ms(6_000)).is_empty(),
+        attribution.culprits(ms(6_000)).is_empty(),
         "one crash counts several times"
     );
-    assert_eq!(blame.targets("bad"), ["t"]);
+    assert_eq!(attribution.targets("bad"), ["t"]);
 }
 
 /// Evidence with the times at which it arrives.
@@ -348,40 +360,40 @@
     fn the_order_in_which_reports_arrive_does_not_matter(
         (reports, shuffled) in arrivals().prop_flat_map(|a| (Just(a.clone()), Just(a).prop_shuffle())),
     ) {
-        let blame_of = |reports: &[(u64, Evidence)]| {
-            let mut blame = Blame::default();
+        let attribution_of = |reports: &[(u64, Evidence)]| {
+            let mut attribution = Attribution::default();
             for (at, evidence) in reports {
-                blame.record(ms(*at), evidence);
+                attribution.record(ms(*at), evidence);
             }
-            blame
+            attribution
         };
-        let (one, two) = (blame_of(&reports), blame_of(&shuffled));
+        let (one, two) = (attribution_of(&reports), attribution_of(&shuffled));
         for now in [12_000, 12_300, 13_000] {
-            prop_assert_eq!(one.guilty(ms(now)), two.guilty(ms(now)));
+            prop_assert_eq!(one.culprits(ms(now)), two.culprits(ms(now)));
             prop_assert_eq!(one.suspects(ms(now)), two.suspects(ms(now)));
         }
     }
 
     #[test]
-    fn a_part_with_a_sound_run_after_its_last_crash_is_never_guilty(reports in arrivals(), part in 0u8..6) {
+    fn a_part_with_a_sound_run_after_its_last_crash_is_never_a_culprit(reports in arrivals(), part in 0u8..6) {
         let part = format!("p{part}");
-        let mut blame = Blame::default();
+        let mut attribution = Attribution::default();
         for (at, evidence) in &reports {
-            blame.record(ms(*at), evidence);
+            attribution.record(ms(*at), evidence);
         }
-        blame.record(ms(12_001), &sound(&[part.as_str()]));
-        prop_assert!(!blame.guilty(ms(13_000)).contains(&part));
-        prop_assert!(!blame.suspects(ms(13_000)).contains(&part));
-        prop_assert!(blame.is_excused(&part, ms(0)));
+        attribution.record(ms(12_001), &sound(&[part.as_str()]));
+        prop_assert!(!attribution.culprits(ms(13_000)).contains(&part));
+        prop_assert!(!attribution.suspects(ms(13_000)).contains(&part));
+        prop_assert!(attribution.has_run_since(&part, ms(0)));
     }
 
     #[test]
     fn evidence_that_is_not_new_changes_no_decision(reports in arrivals(), now in 12_600u64..14_000) {
-        let mut blame = Blame::default();
+        let mut attribution = Attribution::default();
         for (at, evidence) in &reports {
-            let before = blame.guilty(ms(now));
-            if !blame.record(ms(*at), evidence) {
-                prop_assert_eq!(blame.guilty(ms(now)), before);
+            let before = attribution.culprits(ms(now));
+            if !attribution.record(ms(*at), evidence) {
+                prop_assert_eq!(attribution.culprits(ms(now)), before);
             }
         }
     }
--- a/tests/quarantine_fleet.rs
+++ b/tests/quarantine_fleet.rs
@@ -41,7 +41,7 @@
 #[test]
 fn crashes_that_gateways_at_different_controllers_saw_put_the_part_in_quarantine_at_all_of_them() {
     let mut fleet = Fleet::start(3);
-    fleet.condemn("bad");
+    fleet.quarantine("bad");
     assert_eq!(fleet.quarantined(), ["bad"]);
     assert!(
         fleet.knows_quarantine(&["bad"]),
@@ -59,7 +59,7 @@
 }
 
 #[test]
-fn two_crashes_at_each_gateway_of_different_parts_condemn_nothing() {
+fn two_crashes_at_each_gateway_of_different_parts_quarantine_nothing() {
     let mut fleet = Fleet::start(3);
     for gateway in 0..3 {
         for crash in 0..2 {
@@ -78,7 +78,7 @@
 #[test]
 fn the_quarantine_survives_a_change_of_leader_and_gateways_that_know_nothing() {
     let mut fleet = Fleet::start(3);
-    fleet.condemn("bad");
+    fleet.quarantine("bad");
     let former = fleet.leader().unwrap();
     fleet.is_up[former] = false;
     fleet.gateways = (0..3).map(|_| Gateway::default()).collect();
@@ -143,7 +143,7 @@
         fleet.crash(0, &format!("t{i}"), &["bad"]);
         fleet.advance_by(if i < 2 { 300 } else { 0 });
     }
-    let crashed = fleet.gateways[0].witness.evidence(ms(fleet.now), &[]);
+    let crashed = fleet.gateways[0].observations.evidence(ms(fleet.now), &[]);
     let core = &mut fleet.cores[0];
     let call = |digest| Event::Call {
         ticket: 1,
@@ -190,7 +190,7 @@
 #[test]
 fn a_sound_run_after_the_latest_crash_releases_the_part_at_all_gateways() {
     let mut fleet = Fleet::start(3);
-    fleet.condemn("bad");
+    fleet.quarantine("bad");
     fleet.advance_by(5_000);
     assert!(fleet.knows_quarantine(&["bad"]));
     fleet.run_soundly(2, &["first", "bad"]);
@@ -209,7 +209,7 @@
 #[test]
 fn a_new_leader_releases_only_for_a_run_since_it_leads() {
     let mut fleet = Fleet::start(3);
-    fleet.condemn("bad");
+    fleet.quarantine("bad");
     // Longer than crashes are reported, and the run is older than the new leadership.
     fleet.advance_by(6_000);
     let former = fleet.leader().unwrap();
@@ -226,7 +226,7 @@
 #[test]
 fn a_part_without_a_new_crash_is_released_after_ten_minutes() {
     let mut fleet = Fleet::start(1);
-    fleet.condemn("bad");
+    fleet.quarantine("bad");
     fleet.advance_by(300_000);
     fleet.crash(0, "late", &["first", "bad"]);
     fleet.advance_by(598_000);
@@ -290,7 +290,7 @@
 #[test]
 fn the_quarantine_survives_the_compaction_of_the_log() {
     let mut fleet = Fleet::start(1);
-    fleet.condemn("bad");
+    fleet.quarantine("bad");
     for i in 0..100 {
         let call = Call::SetZone {
             zone: "z".to_owned(),
@@ -308,7 +308,7 @@
 fn the_oldest_part_leaves_a_full_quarantine_and_stays_out_without_a_new_crash() {
     let mut fleet = Fleet::start(1);
     for i in 0..65 {
-        fleet.condemn(&format!("bad{i}"));
+        fleet.quarantine(&format!("bad{i}"));
     }
     fleet.advance_by(3_000);
     let held = fleet.quarantined();
--- a/tests/quarantine_gateway.rs
+++ b/tests/quarantine_gateway.rs
@@ -251,16 +251,16 @@
     );
     assert_eq!(answered, late_sound.len(), "a sound request was not answered");
     assert!(at_once * 2 >= late_sound.len(), "sound requests needed retries");
-    let is_condemned = |c: &&Call| c.answers.iter().any(is_refused_for_part);
+    let is_quarantined = |c: &&Call| c.answers.iter().any(is_refused_for_part);
     assert_eq!(
-        sound.iter().filter(is_condemned).count(),
+        sound.iter().filter(is_quarantined).count(),
         0,
         "sound requests were refused for their parts"
     );
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn ordinary_crashes_condemn_no_prompt_part() {
+async fn ordinary_crashes_quarantine_no_prompt_part() {
     let (_site, gateways, upstreams) = site_with_crashing_upstreams(182).await;
     let time = Duration::from_secs(9);
     let crash = async {
@@ -278,21 +278,21 @@
     sound.extend(more_sound);
 
     let crashes = crash_times(&upstreams).len();
-    let is_condemned = |c: &&Call| c.answers.iter().any(is_refused_for_part);
-    let condemned = sound.iter().filter(is_condemned).count();
+    let is_quarantined = |c: &&Call| c.answers.iter().any(is_refused_for_part);
+    let quarantined = sound.iter().filter(is_quarantined).count();
     let answered = sound.iter().filter(|c| c.is_answered()).count();
     println!(
-        "{crashes} crashes; {answered} of {} answered, {condemned} refused for their parts",
+        "{crashes} crashes; {answered} of {} answered, {quarantined} refused for their parts",
         sound.len()
     );
     assert!(crashes >= 20, "{crashes} crashes only");
     assert!(answered * 2 > sound.len(), "most requests were not answered");
-    assert_eq!(condemned, 0);
+    assert_eq!(quarantined, 0);
 }
 
 /// A connection may break for many reasons; only the end of the upstream's process is a crash.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn connections_that_break_at_live_upstreams_condemn_no_prompt_part() {
+async fn connections_that_break_at_live_upstreams_quarantine_no_prompt_part() {
     let script = |head: &str| {
         let parts = header(head, "x-prefix-hash").unwrap_or_default();
         let text = event_text(1, 10);
