--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -3,55 +3,21 @@
 //! Each failure that is tested here would lose crashes that a bad part has caused, or let the evidence
 //! grow without limit.
 
+mod incidents;
+
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use heatherramp::domain::quarantine::Attribution;
 use heatherramp::domain::quarantine::Crash;
 use heatherramp::domain::quarantine::Evidence;
 use heatherramp::domain::quarantine::Observations;
 
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-fn strings(parts: &[&str]) -> Vec<String> {
-    parts.iter().map(|p| (*p).to_owned()).collect()
-}
-
-fn crash(target: &str, incarnation: u64, parts: &[&str]) -> Crash {
-    Crash {
-        target: target.to_owned(),
-        incarnation,
-        parts: strings(parts),
-        age_ms: 0,
-    }
-}
-
-fn crashes(crashes: Vec<Crash>) -> Evidence {
-    Evidence {
-        crashes,
-        ..Evidence::default()
-    }
-}
-
-fn sound(parts: &[&str]) -> Evidence {
-    Evidence {
-        sound: parts.iter().map(|p| ((*p).to_owned(), 0)).collect(),
-        ..Evidence::default()
-    }
-}
-
-/// Attribution after crashes of different targets, with requests that have these parts.
-fn attribution_after(incidents: &[(u64, &[&[&str]])]) -> Attribution {
-    let mut attribution = Attribution::default();
-    for (i, (at, requests)) in incidents.iter().enumerate() {
-        let target = format!("t{i}");
-        let crashed = requests.iter().map(|parts| crash(&target, 1, parts));
-        attribution.record(ms(*at), &crashes(crashed.collect()));
-    }
-    attribution
-}
+use incidents::attribution_after;
+use incidents::crash;
+use incidents::crashes;
+use incidents::ms;
+use incidents::sound;
+use incidents::strings;
 
 #[test]
 fn crashes_that_different_gateways_saw_add_up() {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -3,64 +3,29 @@
 //! Each failure that is tested here would either let a bad part go on ending upstreams, or refuse the
 //! sound requests of many callers for a part that ended none.
 
+mod incidents;
+
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use heatherramp::domain::quarantine::Attribution;
 use heatherramp::domain::quarantine::Crash;
 use heatherramp::domain::quarantine::Evidence;
 use proptest::prelude::*;
 
+use incidents::attribution_after;
+use incidents::crash;
+use incidents::crashes;
+use incidents::ms;
+use incidents::sound;
+
 /// Time after which all gateways have answered what the leader asked about the latest crash.
 const ANSWERED_MS: u64 = 500;
 
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-fn strings(parts: &[&str]) -> Vec<String> {
-    parts.iter().map(|p| (*p).to_owned()).collect()
-}
-
-fn crash(target: &str, incarnation: u64, parts: &[&str]) -> Crash {
-    Crash {
-        target: target.to_owned(),
-        incarnation,
-        parts: strings(parts),
-        age_ms: 0,
-    }
-}
-
-fn crashes(crashes: Vec<Crash>) -> Evidence {
-    Evidence {
-        crashes,
-        ..Evidence::default()
-    }
-}
-
-fn sound(parts: &[&str]) -> Evidence {
-    Evidence {
-        sound: parts.iter().map(|p| ((*p).to_owned(), 0)).collect(),
-        ..Evidence::default()
-    }
-}
-
 fn sorted(mut parts: Vec<String>) -> Vec<String> {
     parts.sort();
     parts
 }
 
-/// Attribution after crashes of different targets, with requests that have these parts.
-fn attribution_after(incidents: &[(u64, &[&[&str]])]) -> Attribution {
-    let mut attribution = Attribution::default();
-    for (i, (at, requests)) in incidents.iter().enumerate() {
-        let target = format!("t{i}");
-        let crashed = requests.iter().map(|parts| crash(&target, 1, parts));
-        attribution.record(ms(*at), &crashes(crashed.collect()));
-    }
-    attribution
-}
-
 #[test]
 fn a_part_is_a_culprit_from_three_crashes_on_and_not_before() {
     let bad: &[&[&str]] = &[&["first", "bad"]];
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -14,22 +14,11 @@
 use site::raw::resumed_after;
 use site::raw::send;
 use site::raw::site_with_raw_upstreams;
+use site::raw::stream_with_silence;
 
-/// Longer than the 900 ms after which a stream with a gap of 300 ms counts as silent.
-const SILENCE: Duration = Duration::from_millis(1_300);
 /// Sends of one request that no upstream has executed, as in `gateway::dispatch`.
 const MAX_UNEXECUTED_SENDS: usize = 3;
 
-/// Stream of ten events that pauses after the fourth one.
-fn stream_with_silence(head: &str) -> Vec<Step> {
-    vec![
-        Step::Send(format!("{}\r\n{}", answer_head(head), event_text(1, 4))),
-        Step::Pause(SILENCE),
-        Step::Send(event_text(5, 10)),
-        Step::Close,
-    ]
-}
-
 fn whole_stream() -> Vec<u64> {
     (1..=10).collect()
 }
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -15,23 +15,11 @@
 use site::raw::resumed_after;
 use site::raw::send;
 use site::raw::site_with_raw_upstreams;
-
-/// Longer than the 900 ms after which a stream with a gap of 300 ms counts as silent.
-const SILENCE: Duration = Duration::from_millis(1_300);
+use site::raw::stream_with_silence;
 
 /// Longer than the 2 s after which an answer to a request with a latency objective of 500 ms counts as late.
 const SLOW_HEAD: Duration = Duration::from_millis(2_600);
 
-/// Stream of ten events that pauses after the fourth one.
-fn stream_with_silence(head: &str) -> Vec<Step> {
-    vec![
-        Step::Send(format!("{}\r\n{}", answer_head(head), event_text(1, 4))),
-        Step::Pause(SILENCE),
-        Step::Send(event_text(5, 10)),
-        Step::Close,
-    ]
-}
-
 /// Refusal of a request that was not executed.
 fn not_executed() -> Vec<Step> {
     vec![Step::Send(
--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -207,6 +207,19 @@
     format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-signature: s\r\n")
 }
 
+/// Longer than the 900 ms after which a stream with a gap of 300 ms counts as silent.
+pub const SILENCE: Duration = Duration::from_millis(1_300);
+
+/// Stream of ten events that pauses after the fourth one.
+pub fn stream_with_silence(head: &str) -> Vec<Step> {
+    vec![
+        Step::Send(format!("{}\r\n{}", answer_head(head), event_text(1, 4))),
+        Step::Pause(SILENCE),
+        Step::Send(event_text(5, 10)),
+        Step::Close,
+    ]
+}
+
 /// Events `first` to `last` of a stream.
 pub fn event_text(first: u64, last: u64) -> String {
     (first..=last)
