--- a/src/domain/catalog/error.rs
+++ b/src/domain/catalog/error.rs
@@ -23,7 +23,7 @@
     ZeroWeight(String),
     /// The timeout of the named route is 0.
     ZeroTimeout(String),
-    /// A figure of a service or its engine is negative, not a number, or too small to calculate with.
+    /// A figure of a service or its engine is negative or too large, or the engine has no slots.
     InvalidFigure {
         /// Name of the service.
         service: String,
