gateway: log and count the rate limits that upstreams name

Nothing showed whether a gateway knew of a limit. E413 says when a target names another one, or none any more, and the gauge limited_targets how many have named one to this gateway. Requests are sent as before. An answer to a request that was sent before the limit was named last does not end it, since answers on different connections may overtake each other.

--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -17,6 +17,8 @@
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Table;
 use crate::domain::fleet::Target;
+use crate::domain::limit::Limit;
+use crate::domain::limit::Quotas;
 
 /// Load, as a fraction of an engine's request limit, from which on each gateway keeps to its own share
 /// of that limit.
@@ -112,6 +114,8 @@
     leaving: BTreeMap<(String, u64), Duration>,
     /// Ends of the pauses that targets have asked for, by identifier.
     paused_until: BTreeMap<String, Duration>,
+    /// Limits that targets have named.
+    quotas: Quotas,
     /// This gateway's share, 0 to 1, of limits that apply to all gateways together.
     share: f64,
 }
@@ -131,6 +135,7 @@
             gateways: 1,
             leaving: BTreeMap::new(),
             paused_until: BTreeMap::new(),
+            quotas: Quotas::default(),
             share: 1.0,
         }
     }
@@ -174,6 +179,7 @@
                 self.trackers.insert(id, tracker);
             }
         }
+        self.quotas.retain(|id| self.trackers.contains_key(id));
     }
 
     /// Chooses a target for a request at `now`.
@@ -311,6 +317,17 @@
         is_new
     }
 
+    /// Records the limit that `target` named, or that it named none, in an answer to a request that was sent
+    /// at `sent_at`; returns whether that is new.
+    pub fn record_limit(&mut self, now: Duration, sent_at: Duration, target: &Target, limit: Limit) -> bool {
+        self.quotas.record(now, sent_at, target, limit)
+    }
+
+    /// Number of targets with a limit.
+    pub fn limited(&self) -> usize {
+        self.quotas.limited()
+    }
+
     fn is_leaving(&self, target: &Target) -> bool {
         !self.leaving.is_empty()
             && self
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -11,6 +11,7 @@
 pub mod environment;
 pub mod fleet;
 pub mod gateway;
+pub mod limit;
 pub mod membership;
 pub mod placement;
 pub mod quarantine;
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -26,7 +26,7 @@
     /// Final answer.
     Answer(Response<Body>),
     /// Head of an event stream, with its connection.
-    Stream(Response<Incoming>, Connection, Send),
+    Stream(Response<Incoming>, Connection, Box<Send>),
     /// The target did not execute the request.
     NotRun,
     /// The target may have executed the request; with the answer if it was a server error.
@@ -63,7 +63,7 @@
         connection: Connection,
         send: Send,
     ) -> Delivery {
-        send.record_notice(&response);
+        send.record_notice(self.request, &response);
         match classify(self.request, &response) {
             Classification::NotRun(outcome) => {
                 self.end_failed(send, outcome, "refused by the target");
@@ -81,7 +81,7 @@
             Classification::Own => self.runs += 1,
         }
         if self.request.route.streams && response.status().is_success() {
-            return Delivery::Stream(response, connection, send);
+            return Delivery::Stream(response, connection, Box::new(send));
         }
         self.read_body(response, connection, send).await
     }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -144,7 +144,7 @@
                         self.runs,
                         response,
                         connection,
-                        send,
+                        *send,
                     );
                 }
                 failed @ (Delivery::NotRun | Delivery::Unknown(_)) => {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -31,6 +31,8 @@
     pub(super) version: IntGauge,
     /// Number of targets that the leader named.
     pub(super) targets: IntGauge,
+    /// Number of targets that have named a rate limit to this gateway.
+    pub(super) limited_targets: IntGauge,
     /// Number of prompt parts in quarantine.
     pub(super) quarantined_parts: IntGauge,
     /// Events received from upstreams for callers.
@@ -49,6 +51,7 @@
             reports: counters("reports_total", "Reports to the leader by outcome", &["outcome"]),
             version: gauge("catalog_version", "Version of the catalog in force"),
             targets: gauge("targets", "Targets named by the leader"),
+            limited_targets: gauge("limited_targets", "Targets with a rate limit of their own"),
             quarantined_parts: gauge("quarantined_parts", "Prompt parts in quarantine"),
             first_answer: registry.histograms(
                 "first_seconds",
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -165,7 +165,7 @@
                 return Ok(None);
             }
         };
-        send.record_notice(&response);
+        send.record_notice(&self.request, &response);
         match classify(&self.request, &response) {
             Classification::NotRun(outcome) => {
                 self.runs -= 1;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -17,6 +17,8 @@
 use crate::domain::fleet::Target;
 use crate::domain::gateway::Notice;
 use crate::domain::gateway::Outcome;
+use crate::domain::limit::Limit;
+use crate::domain::limit::Rate;
 use crate::logging;
 use crate::platform::header as platform_header;
 
@@ -26,6 +28,7 @@
 pub(super) struct Send {
     pub(super) context: Arc<Context>,
     pub(super) target: Target,
+    started: Duration,
     /// Outcome to record on drop; `Abandoned` until [`Send::end`] sets another one.
     outcome: Outcome,
 }
@@ -33,16 +36,21 @@
 impl Send {
     /// Counts a send to `target` as in progress from now on.
     pub(super) fn start(context: &Arc<Context>, target: Target, service: &Service) -> Self {
-        context.balancer().start_send(clock::now(), &target.id, service);
+        let started = clock::now();
+        context.balancer().start_send(started, &target.id, service);
         Send {
             context: context.clone(),
             target,
+            started,
             outcome: Outcome::Abandoned,
         }
     }
 
-    /// Records what the target says of itself with an answer.
-    pub(super) fn record_notice<B>(&self, response: &Response<B>) {
+    /// Records what the target says of itself with an answer to a request.
+    pub(super) fn record_notice<B>(&self, request: &Request, response: &Response<B>) {
+        if let Some(limit) = limit(request, response) {
+            self.record_limit(limit);
+        }
         let notice = notice(response);
         if notice == Notice::default() {
             return;
@@ -63,6 +71,24 @@
         ]);
     }
 
+    fn record_limit(&self, limit: Limit) {
+        let mut balancer = self.context.balancer();
+        let is_new = balancer.record_limit(clock::now(), self.started, &self.target, limit);
+        let limited = balancer.limited();
+        drop(balancer);
+        if !is_new {
+            return;
+        }
+        self.context.metrics.limited_targets.set(limited as i64);
+        let per_second = limit.rate().map_or(0.0, Rate::per_second);
+        logging::TARGET_LIMIT.log_fields(&[
+            ("target", self.target.id.as_str().into()),
+            ("incarnation", self.target.incarnation.into()),
+            ("limited", (limit != Limit::Unlimited).into()),
+            ("per_second", per_second.into()),
+        ]);
+    }
+
     /// Ends the send with `outcome`.
     pub(super) fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -125,6 +151,23 @@
     }
 }
 
+/// Limit that the target of an answer names, or that it names none; nothing if the answer does not tell.
+///
+/// An upstream that answers 421 is not the target. An answer to another request may be an earlier one, and a
+/// limit that cannot be read is not taken for none.
+fn limit<B>(request: &Request, response: &Response<B>) -> Option<Limit> {
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return None;
+    }
+    let headers = response.headers();
+    if let Some(value) = headers.get(platform_header::LIMIT) {
+        let rate = value.to_str().ok().and_then(platform_header::parse_limit);
+        return rate.map(Limit::AtMost);
+    }
+    let echoed_id = headers.get(platform_header::ATTEMPT_ID)?;
+    (echoed_id.as_bytes() == request.id.as_bytes()).then_some(Limit::Unlimited)
+}
+
 /// Request to one target; with `last_event`, asks for the events of a stream that follow it.
 ///
 /// None if the request or the target's identifier cannot be encoded.
--- a/src/logging/catalogue.rs
+++ b/src/logging/catalogue.rs
@@ -236,6 +236,13 @@
     name: "stream_aborted",
     module: "gateway",
 };
+/// A target names another rate limit than before, in requests per second, or none any more.
+pub const TARGET_LIMIT: Event = Event {
+    code: 413,
+    level: Level::Info,
+    name: "target_limit",
+    module: "gateway",
+};
 /// This controller became the leader or lost the leadership.
 pub const FLEET_LEADERSHIP: Event = Event {
     code: 501,
@@ -363,6 +370,7 @@
     TARGET_EJECTED,
     TARGET_NOTICE,
     STREAM_ABORTED,
+    TARGET_LIMIT,
     FLEET_LEADERSHIP,
     FLEET_COMMITTED,
     GROUP_OPENED,
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::domain::limit::Rate;
+
 /// Identifier of one attempt, set by the caller; its echo shows which request an answer belongs to.
 pub const ATTEMPT_ID: &str = "x-attempt-id";
 /// Time that the caller waits, or, from the gateway to an upstream, the time left, in milliseconds.
@@ -18,6 +20,8 @@
 pub const LEAVING: &str = "server-leaving";
 /// On a 503 of an upstream: seconds for which it wants no request from this gateway.
 pub const RETRY_AFTER: &str = "retry-after";
+/// On an answer of an upstream: requests per second that it takes from all gateways together.
+pub const LIMIT: &str = "server-limit";
 /// Model that the request asks for.
 pub const MODEL: &str = "x-model";
 /// Prompt tokens and maximum answer tokens, separated by a comma.
@@ -60,6 +64,12 @@
     Some((prompt.trim().parse().ok()?, answer.trim().parse().ok()?))
 }
 
+/// Parses the value of [`LIMIT`]; none for what is not a rate.
+pub fn parse_limit(value: &str) -> Option<Rate> {
+    let per_second: f64 = value.trim().parse().ok()?;
+    Rate::try_from(per_second).ok()
+}
+
 /// Parses the value of [`RETRY_AFTER`]; none for a date or an unreadable number.
 pub fn parse_retry_after(value: &str) -> Option<Duration> {
     let seconds: f64 = value.trim().parse().ok()?;
