gateways: keep to the rate limits that upstreams name, all together

Callers of an upstream that names a limit (Server-Limit) went on sending at their own rate: no gateway read it, and each knows only its own requests. Cause: a limit that holds for all gateways together needs one place that counts, and there was none.

A gateway reports a limit that the leader does not list; the leader lists it with the target, as it does for all targets, so that it reaches every gateway. The relay of each controller has the part of each limit that its gateways have of the demand and issues permits for it, one a request: with the answers to reports where requests come often, else to the request that asks. What is not used within half a second is returned; permits under way bound what accrues. Every send needs a permit (first, repeated, resumed and second sends go through the same choice). A gateway without a relay, or whose relay does not list the limit yet, keeps to its share of it. The answer to a request sent after the limit was named, and without one, ends it; a restarted upstream has none.

No new command of the log; new fields of reports, digests and overviews have defaults, and a controller that cannot read the new call answers with an error, after which the gateway waits for its report.

--- a/src/domain/fleet/call.rs
+++ b/src/domain/fleet/call.rs
@@ -10,6 +10,8 @@
 use super::Document;
 use super::Overview;
 use crate::domain::catalog::Compressed;
+use crate::domain::limit::Ask;
+use crate::domain::limit::Notice;
 use crate::domain::quarantine::Evidence;
 
 /// Report of a gateway; the answer is an [`Overview`].
@@ -34,6 +36,12 @@
     pub heartbeat_address: Option<String>,
     /// Further heartbeats of VMs whose earlier ones with the same content this controller has acknowledged.
     pub renewed: Vec<Renewal>,
+    /// Rate limits that the leader does not list as this gateway knows them.
+    #[serde(default)]
+    pub limits: Vec<Notice>,
+    /// Permits that the gateway asks for and returns, by target.
+    #[serde(default)]
+    pub asks: BTreeMap<String, Ask>,
     /// Crashes that this gateway has seen, and sound runs of the parts that the leader asked about.
     #[serde(default)]
     pub evidence: Evidence,
@@ -83,6 +91,9 @@
     pub changed: Vec<Heard>,
     /// Heartbeats whose content the leader has.
     pub renewed: Vec<Renewal>,
+    /// Rate limits that the leader does not list as these gateways know them.
+    #[serde(default)]
+    pub limits: Vec<Notice>,
     /// Merged evidence of these gateways.
     #[serde(default)]
     pub evidence: Evidence,
@@ -123,6 +134,11 @@
         /// Identity of the gateway process.
         gateway: String,
     },
+    /// A gateway asks its relay for a permit of one of these targets.
+    Permit {
+        /// Identifiers of the targets.
+        targets: Vec<String>,
+    },
     /// A controller passes on what it has heard from gateways and VMs.
     Digest(Box<Digest>),
     /// A gateway fetches the catalog; any controller answers.
@@ -145,6 +161,8 @@
     Catalog(Option<Compressed>),
     /// Routing information for a gateway or a controller.
     Overview(Box<Overview>),
+    /// Target for which a permit was issued, if there is one.
+    Permit(Option<String>),
 }
 
 /// Needed by the mailbox for a call that is dropped without an answer; the caller then tries another
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -27,6 +27,7 @@
 use crate::domain::consensus::Payload;
 use crate::domain::consensus::Recovery;
 use crate::domain::consensus::Role;
+use crate::domain::limit::Register;
 
 /// Applied records after which a snapshot is taken.
 const SNAPSHOT_INTERVAL_RECORDS: u64 = 96;
@@ -75,6 +76,8 @@
     /// Number of applied commands of which gateways must know soon, beside those that change targets or
     /// the catalog; when it rises, all waiting polls are answered.
     pub(super) urgent_changes: usize,
+    /// Rate limits that targets have named.
+    pub(super) limits: Register,
     /// Evidence against prompt parts.
     pub(super) quarantine: Quarantine,
     /// Callers that wait for a proposal to be applied, by log index.
@@ -87,8 +90,8 @@
     shutting_down: bool,
     /// Bytes of the commands applied since the last snapshot.
     applied_bytes: usize,
-    /// Whether a command was applied since the targets were recomputed.
-    targets_dirty: bool,
+    /// Whether a command was applied, or a rate limit changed, since the targets were recomputed.
+    pub(super) targets_dirty: bool,
     /// Whether heartbeats, reports or commands have changed what the groups depend on since the last
     /// reconciliation.
     pub(super) reconcile_due: bool,
@@ -124,6 +127,7 @@
             targets: TargetLog::default(),
             closed: Vec::new(),
             urgent_changes: 0,
+            limits: Register::default(),
             quarantine: Quarantine::default(),
             tickets_by_index: BTreeMap::new(),
             own_proposals: VecDeque::new(),
@@ -219,6 +223,7 @@
         self.reconciled_at = now;
         let silence_cutoff = now.saturating_sub(self.timing.vm_retention());
         self.registry.evict_silent(silence_cutoff);
+        self.limits.retain(|id| self.registry.get(id).is_some());
         self.reconcile(now, out);
     }
 
@@ -265,7 +270,7 @@
             }
             Call::Digest(digest) => self.receive_digest(now, ticket, *digest),
             // The relay answers these.
-            Call::Report(_) | Call::Withdraw { .. } => out.push(self.redirect(ticket)),
+            Call::Report(_) | Call::Withdraw { .. } | Call::Permit { .. } => out.push(self.redirect(ticket)),
         }
     }
 
@@ -409,6 +414,7 @@
             self.gateway_count = 1;
             self.targets = TargetLog::new((self.node.term(), 0));
             self.closed.clear();
+            self.limits = Register::default();
             self.quarantine = Quarantine::default();
             self.targets_dirty = true;
             out.push(Action::Leadership(true));
--- a/src/domain/fleet/digests.rs
+++ b/src/domain/fleet/digests.rs
@@ -64,6 +64,7 @@
         }
         let evidence = std::mem::take(&mut digest.evidence);
         self.quarantine.record(now, &evidence);
+        self.targets_dirty |= self.limits.record(now, &std::mem::take(&mut digest.limits));
         self.polls.push(Poll {
             ticket,
             controller: digest.controller.address.clone(),
@@ -174,6 +175,7 @@
             age_ms: 0,
             suspects: self.quarantine.asked(&self.state.quarantined),
             quarantined: self.state.quarantined.keys().cloned().collect(),
+            granted: BTreeMap::new(),
         }
     }
 
--- a/src/domain/fleet/reconciliation.rs
+++ b/src/domain/fleet/reconciliation.rs
@@ -154,6 +154,7 @@
                 model: None,
                 slots: announcement.slots,
                 cold: false,
+                limit: None,
             };
             if listed != Some(&target) {
                 commands.push(Command::List(Box::new(target)));
@@ -381,6 +382,7 @@
             let cold = vm.is_some_and(|vm| now < vm.cold_until);
             let target = Target {
                 cold,
+                limit: self.limits.get(&target.id, target.incarnation),
                 ..target.clone()
             };
             targets.insert(target.id.clone(), target);
@@ -411,6 +413,7 @@
             model: Some(group.model.clone()),
             slots: slots.unwrap_or(1),
             cold: vm.is_some_and(|vm| now < vm.cold_until),
+            limit: self.limits.get(&head.id, head.incarnation),
         }
     }
 }
--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -22,6 +22,10 @@
 use super::TargetLog;
 use super::Timing;
 use super::event::Ticket;
+use super::share;
+use crate::domain::limit::Issuer;
+use crate::domain::limit::Notice;
+use crate::domain::limit::Rate;
 use crate::domain::quarantine::Evidence;
 
 /// Age of the leader's overview up to which reports are answered from it.
@@ -47,6 +51,8 @@
 pub enum Input {
     /// Report of a gateway.
     Report(Ticket, Box<Report>),
+    /// A gateway asks for a permit of one of these targets.
+    Permit(Ticket, Vec<String>),
     /// The gateway with this identity now reports to another controller.
     Withdrawal(String),
     /// Heartbeat of a VM.
@@ -73,6 +79,8 @@
     urgent_changes: usize,
     arrived_at: Duration,
     deadline: Duration,
+    /// Identity of the gateway.
+    gateway: String,
 }
 
 /// What of a VM's latest heartbeat the leader lacks.
@@ -113,6 +121,8 @@
     /// Changes of the zones out of service and of the quarantine that overviews have shown.
     urgent_changes: usize,
     polls: Vec<Poll>,
+    /// Permits for targets with a rate limit.
+    issuer: Issuer,
     /// Heartbeats in the digest that has no answer yet: VM, incarnation and sequence.
     in_flight: Vec<(String, u64, u64)>,
 }
@@ -121,6 +131,7 @@
     /// Relay of `controller`.
     pub fn new(controller: Controller, timing: Timing) -> Self {
         Relay {
+            issuer: Issuer::new(hash(&controller.address)),
             controller,
             timing,
             gateways: BTreeMap::new(),
@@ -147,6 +158,10 @@
                     out.push((ticket, Answer::Redirect(None)));
                 }
             }
+            Input::Permit(ticket, targets) => {
+                let granted = self.issue_one(now, targets);
+                out.push((ticket, Answer::Permit(granted)));
+            }
             Input::Withdrawal(gateway) => {
                 if let Some(gateway) = self.gateways.remove(&gateway) {
                     subtract(&mut self.running, &gateway.report.running);
@@ -221,6 +236,19 @@
         }
         stalled.sort_unstable();
         stalled.dedup();
+        let is_unlisted = |n: &&Notice| {
+            let listed = self.targets.get(&n.target).and_then(|t| t.limit);
+            listed != Some(n.limit)
+        };
+        let notices = fresh().flat_map(|g| {
+            let elapsed_ms = now.saturating_sub(g.reported_at).as_millis() as u64;
+            let unlisted = g.report.limits.iter().filter(is_unlisted);
+            unlisted.map(move |n| Notice {
+                age_ms: n.age_ms + elapsed_ms,
+                ..n.clone()
+            })
+        });
+        let limits = Notice::latest(notices);
         let evidence = fresh().map(|g| (&g.report.evidence, now.saturating_sub(g.reported_at)));
         Digest {
             controller: self.controller.clone(),
@@ -233,6 +261,7 @@
             demand,
             changed,
             renewed,
+            limits,
             evidence: Evidence::merged(evidence),
         }
     }
@@ -258,6 +287,7 @@
             urgent_changes: self.urgent_changes,
             arrived_at: now,
             deadline: now + self.report_interval(now),
+            gateway: report.gateway.clone(),
         });
         for (target, count) in &report.running {
             match self.running.get_mut(target) {
@@ -265,6 +295,9 @@
                 None => drop(self.running.insert(target.clone(), *count)),
             }
         }
+        for (target, ask) in &report.asks {
+            self.issuer.take_back(target, ask.returned);
+        }
         let identity = report.gateway.clone();
         let gateway = Gateway {
             report,
@@ -375,6 +408,7 @@
         let is_held = self.is_held_for(now, OVERVIEW_VALIDITY);
         // The part that all gateways get alike.
         let mut common = None;
+        let mut issuer = std::mem::take(&mut self.issuer);
         for poll in std::mem::take(&mut self.polls) {
             let Some(held) = self.held.as_ref().filter(|_| is_held) else {
                 out.push((poll.ticket, Answer::Redirect(None)));
@@ -393,8 +427,66 @@
             if poll.version < held.overview.version {
                 overview.catalog.clone_from(&held.overview.catalog);
             }
+            overview.granted = self.grant(now, &mut issuer, &poll.gateway, &held.overview);
             out.push((poll.ticket, Answer::Overview(Box::new(overview))));
         }
+        self.issuer = issuer;
+    }
+
+    /// Permits for a gateway, out of this relay's part of the limits.
+    fn grant(
+        &self,
+        now: Duration,
+        issuer: &mut Issuer,
+        gateway: &str,
+        overview: &Overview,
+    ) -> BTreeMap<String, u32> {
+        let Some(asks) = self.gateways.get(gateway).map(|g| &g.report.asks) else {
+            return BTreeMap::new();
+        };
+        if asks.is_empty() {
+            return BTreeMap::new();
+        }
+        let part = self.part_of_limits(now, overview);
+        let mut granted = BTreeMap::new();
+        for (target, ask) in asks.iter().filter(|(_, ask)| ask.wanted > 0) {
+            let Some(per_second) = self.limit_of(target) else {
+                continue;
+            };
+            let count = issuer.issue(now, target, per_second * part, ask.wanted);
+            if count > 0 {
+                granted.insert(target.clone(), count);
+            }
+        }
+        granted
+    }
+
+    /// Issues one permit for the first of `targets` that has one left.
+    fn issue_one(&mut self, now: Duration, targets: Vec<String>) -> Option<String> {
+        if !self.is_held_for(now, OVERVIEW_VALIDITY) {
+            return None;
+        }
+        let part = self.part_of_limits(now, &self.held.as_ref()?.overview);
+        targets.into_iter().find(|target| {
+            let per_second = self.limit_of(target);
+            per_second.is_some_and(|p| self.issuer.issue(now, target, p * part, 1) > 0)
+        })
+    }
+
+    /// Requests per second that a target takes from all gateways together; none without a limit.
+    fn limit_of(&self, target: &str) -> Option<f64> {
+        let limit = self.targets.get(target)?.limit?;
+        limit.rate().map(Rate::allowed_per_second)
+    }
+
+    /// Part of limits for all gateways that falls to those that report here, 0 to 1.
+    fn part_of_limits(&self, now: Duration, overview: &Overview) -> f64 {
+        let fresh = self.gateways.values().filter(|g| is_fresh(g, now));
+        let shares = fresh.map(|g| {
+            let demand = g.report.demand.values().sum();
+            share(demand, overview.demand, overview.gateways)
+        });
+        shares.sum::<f64>().min(1.0)
     }
 
     /// Overview for gateways, without what depends on the data that each of them holds.
@@ -432,6 +524,7 @@
             gateway.report.running.clear();
         }
         self.gateways.retain(|_, g| now < g.reported_at + GATEWAY_EXPIRY);
+        self.issuer.expire(now);
         let retention = self.timing.vm_retention();
         self.vms.retain(|_, vm| now < vm.heard_at + retention);
     }
--- a/src/domain/fleet/routing.rs
+++ b/src/domain/fleet/routing.rs
@@ -7,6 +7,7 @@
 
 use super::target_log::Update;
 use crate::domain::catalog::Compressed;
+use crate::domain::limit::Limit;
 
 /// VM that accepts requests: a replica of a service, or the head of an open group.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -28,6 +29,9 @@
     pub slots: u32,
     /// Whether it is in its cold start, in which gateways allow it a lower rate of requests.
     pub cold: bool,
+    /// Rate limit that it has named; none if no gateway has reported one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<Limit>,
 }
 
 /// Controller that gateways and VMs may call.
@@ -76,6 +80,9 @@
     /// Prompt parts in quarantine.
     #[serde(default)]
     pub quarantined: Vec<String>,
+    /// Permits for targets with a rate limit, issued to the gateway that reported.
+    #[serde(default)]
+    pub granted: BTreeMap<String, u32>,
 }
 
 /// Routing table of one gateway.
@@ -93,6 +100,8 @@
     pub stalled: Vec<String>,
     /// Fraction of shared limits that this gateway may use, 0 to 1.
     pub share: f64,
+    /// Permits issued to this gateway, for targets with a rate limit.
+    pub granted: BTreeMap<String, u32>,
     /// Number of gateways that share limits, at least 1.
     pub gateways: usize,
 }
--- a/src/domain/fleet/target_log.rs
+++ b/src/domain/fleet/target_log.rs
@@ -61,6 +61,11 @@
         self.targets.values()
     }
 
+    /// Target with this identifier.
+    pub fn get(&self, id: &str) -> Option<&Target> {
+        self.targets.get(id)
+    }
+
     /// Replaces the targets; returns false and keeps the revision if they are the same.
     pub fn replace(&mut self, targets: BTreeMap<String, Target>) -> bool {
         if targets == self.targets {
--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -17,6 +17,8 @@
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Table;
 use crate::domain::fleet::Target;
+use crate::domain::limit;
+use crate::domain::limit::Ask;
 use crate::domain::limit::Limit;
 use crate::domain::limit::Quotas;
 
@@ -135,7 +137,7 @@
             gateways: 1,
             leaving: BTreeMap::new(),
             paused_until: BTreeMap::new(),
-            quotas: Quotas::default(),
+            quotas: Quotas::new(seed),
             share: 1.0,
         }
     }
@@ -151,6 +153,8 @@
         self.updated_at = now;
         self.gateways = table.gateways.max(1);
         self.share = table.share;
+        self.quotas.record_contact(now, table.share);
+        self.quotas.grant(now, &table.granted);
         for (id, tracker) in &mut self.trackers {
             tracker.running_elsewhere = table.running.get(id).copied().unwrap_or(0);
             tracker.closed = table.closed.contains(id);
@@ -179,18 +183,38 @@
                 self.trackers.insert(id, tracker);
             }
         }
-        self.quotas.retain(|id| self.trackers.contains_key(id));
+        self.quotas.list(now, targets);
     }
 
     /// Chooses a target for a request at `now`.
-    pub fn choose(&self, now: Duration, criteria: &Criteria) -> Choice {
+    pub fn choose(&mut self, now: Duration, criteria: &Criteria) -> Choice {
+        self.quotas.advance(now);
+        let (choice, short) = self.choose_within_quotas(now, criteria);
+        for id in short {
+            self.quotas.record_shortage(now, &id);
+        }
+        choice
+    }
+
+    /// Targets that could take a request but for a permit, as of the last [`Balancer::choose`].
+    pub fn short_of_permits(&self, now: Duration, criteria: &Criteria) -> Vec<String> {
+        self.choose_within_quotas(now, criteria).1
+    }
+
+    /// Takes over a permit for target `id` that a relay has issued.
+    pub fn grant(&mut self, now: Duration, id: &str) {
+        self.quotas.grant(now, &BTreeMap::from([(id.to_owned(), 1)]));
+    }
+
+    /// Chooses a target, and names the targets that only lacked a permit.
+    fn choose_within_quotas(&self, now: Duration, criteria: &Criteria) -> (Choice, Vec<String>) {
         let candidates: Vec<&Tracker> = self
             .trackers
             .values()
             .filter(|t| self.is_candidate(t, criteria))
             .collect();
         if candidates.is_empty() {
-            return Choice::NoTarget;
+            return (Choice::NoTarget, Vec::new());
         }
         let healthy: Vec<&Tracker> = candidates.iter().copied().filter(|t| t.is_healthy(now)).collect();
         // When none is healthy, any of them may have recovered.
@@ -206,17 +230,29 @@
                 && self.is_within_rate(now, t, criteria.service)
                 && self.pause_of(now, t).is_zero()
         };
-        let free: Vec<&Tracker> = pool.iter().filter(is_free).copied().collect();
-        match self.least_loaded(now, &free, criteria.draw) {
+        let free = pool.iter().filter(is_free).copied();
+        let (free, short): (Vec<&Tracker>, Vec<&Tracker>) =
+            free.partition(|t| self.quotas.allows(&t.target.id));
+        let choice = match self.least_loaded(now, &free, criteria.draw) {
             Some(tracker) => Choice::Send {
                 target: tracker.target.clone(),
                 load: self.load(now, tracker),
             },
-            None => {
-                let shortest_pause = pool.iter().map(|t| self.pause_of(now, t)).min();
-                Choice::Full(time_until_room(pool, criteria).max(shortest_pause.unwrap_or_default()))
-            }
-        }
+            None => Choice::Full(self.time_until_free(now, pool, criteria)),
+        };
+        let short = short.into_iter().map(|t| t.target.id.clone());
+        (choice, short.collect())
+    }
+
+    /// Expected time until one of the targets in `pool` takes a request, of which none does now.
+    fn time_until_free(&self, now: Duration, pool: &[&Tracker], criteria: &Criteria) -> Duration {
+        let shortest_pause = pool.iter().map(|t| self.pause_of(now, t)).min();
+        let until_permit = self
+            .quotas
+            .time_until_permit(pool.iter().map(|t| t.target.id.as_str()));
+        time_until_room(pool, criteria)
+            .max(shortest_pause.unwrap_or_default())
+            .max(until_permit.map_or(Duration::ZERO, estimate))
     }
 
     /// Least loaded of a few targets drawn at random ("power of d choices").
@@ -245,6 +281,7 @@
             tracker.running += 1;
             tracker.next_allowed = now + interval;
         }
+        self.quotas.spend(now, id);
     }
 
     /// Records that a stream from target `id` sent an event; `is_first` marks the stream's first one.
@@ -323,6 +360,16 @@
         self.quotas.record(now, sent_at, target, limit)
     }
 
+    /// Limits that the leader does not list as this gateway knows them.
+    pub fn limit_notices(&self, now: Duration) -> Vec<limit::Notice> {
+        self.quotas.notices(now)
+    }
+
+    /// Permits to ask for and to return in the next report.
+    pub fn take_asks(&mut self, now: Duration) -> BTreeMap<String, Ask> {
+        self.quotas.take_asks(now)
+    }
+
     /// Number of targets with a limit.
     pub fn limited(&self) -> usize {
         self.quotas.limited()
--- a/src/domain/limit/rate.rs
+++ b/src/domain/limit/rate.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Lowest rate at which requests go to a target, in requests per second.
+const MIN_PER_S: f64 = 0.1;
 /// Highest rate that is told apart from no limit, in requests per second.
 const MAX_PER_S: f64 = 1e9;
 
@@ -19,6 +21,11 @@
     pub fn per_second(self) -> f64 {
         self.0 as f64 / 1_000.0
     }
+
+    /// Requests per second that go to a target with this limit: without any, it could not name another one.
+    pub fn allowed_per_second(self) -> f64 {
+        self.per_second().max(MIN_PER_S)
+    }
 }
 
 /// Number that is no rate: negative, infinite or not a number.
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -50,6 +50,7 @@
     async fn answer(&self, call: Call) -> Answer {
         let is_acknowledged = match call {
             Call::Report(report) => return self.relay.report(report).await,
+            Call::Permit { targets } => return self.relay.permit(targets).await,
             Call::Announce(announcement) => {
                 heartbeat::announce(&self.relay, &self.leader, announcement).await
             }
--- a/src/fleet/relay.rs
+++ b/src/fleet/relay.rs
@@ -52,6 +52,13 @@
         answer.await.unwrap_or_default()
     }
 
+    /// Answers a gateway that asks for a permit of one of `targets`.
+    pub(super) async fn permit(&self, targets: Vec<String>) -> Answer {
+        let (ticket, answer) = self.tickets.issue();
+        self.step(Input::Permit(ticket, targets));
+        answer.await.unwrap_or_default()
+    }
+
     /// Takes a heartbeat over for the leader; returns whether it is acknowledged.
     pub(super) async fn take_heartbeat(&self, announcement: Box<Announcement>) -> bool {
         let (ticket, answer) = self.tickets.issue();
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -7,6 +7,7 @@
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -49,6 +50,8 @@
     pub(super) metrics: Metrics,
     /// Notified when a target may have room again.
     pub(super) room: Notify,
+    /// Number of requests that ask for a permit.
+    pub(super) asking: AtomicUsize,
     balancer: Mutex<Balancer>,
     budget: Mutex<Budget>,
     demand: Mutex<Demand>,
@@ -78,6 +81,7 @@
             controllers,
             metrics: Metrics::new(),
             room: Notify::new(),
+            asking: AtomicUsize::new(0),
             balancer: Mutex::new(Balancer::new(
                 &settings.availability_zone,
                 rand::random(),
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -16,6 +16,7 @@
 use super::context::Context;
 use super::delivery::Delivery;
 use super::evidence;
+use super::permit;
 use super::request::Request;
 use super::send::Send;
 use super::stream;
@@ -178,13 +179,15 @@
             self.request.deadline.saturating_sub(self.request.started),
         );
         let wait_start = clock::now();
+        let mut has_asked = false;
         loop {
             // Created before the check, so that room signalled during it is not missed.
             let room_signal = self.context.room.notified();
             if self.context.quarantined_part(&self.request.parts).is_some() {
                 return Err((evidence::REASON, evidence::RETRY_AFTER));
             }
-            let choice = self.choose(reserve);
+            let criteria = self.criteria(reserve);
+            let choice = self.context.balancer().choose(clock::now(), &criteria);
             let waited = clock::now() - wait_start;
             match choice {
                 Choice::Send { target, load } => {
@@ -196,6 +199,10 @@
                 Choice::Full(until_room) if waited >= max_wait => {
                     return Err(("all targets are full", until_room));
                 }
+                Choice::Full(_) if !has_asked => {
+                    has_asked = true;
+                    permit::ask(self.context, &criteria, max_wait - waited).await;
+                }
                 Choice::Full(_) => {
                     // Whether room was signalled or the time is up, the targets are checked again.
                     let _ = timeout(max_wait - waited, room_signal).await;
@@ -204,16 +211,15 @@
         }
     }
 
-    /// Chooses a target that leaves `reserve` slots free.
-    fn choose(&self, reserve: u32) -> Choice {
-        let criteria = Criteria {
+    /// Criteria of a target that leaves `reserve` slots free.
+    fn criteria(&self, reserve: u32) -> Criteria<'_> {
+        Criteria {
             service: self.service,
             model: self.request.model.as_deref(),
             tried: &self.tried,
             reserve,
             draw: rand::random(),
-        };
-        self.context.balancer().choose(clock::now(), &criteria)
+        }
     }
 
     /// Sends the request to a target and, once the answer is late, to another one, too.
@@ -278,7 +284,8 @@
         if !self.may_add_send() || is_quarantined || clock::now() + MIN_TIME_LEFT >= self.request.deadline {
             return None;
         }
-        let Choice::Send { target, load } = self.choose(0) else {
+        let choice = self.context.balancer().choose(clock::now(), &self.criteria(0));
+        let Choice::Send { target, load } = choice else {
             return None;
         };
         if self.tried.contains(&target.id) || !self.may_send_again() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod evidence;
 mod heartbeat;
 mod metrics;
+mod permit;
 mod request;
 mod run;
 mod search;
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -10,6 +10,7 @@
 use super::context::Context;
 use super::dispatch::MAX_UNEXECUTED_SENDS;
 use super::evidence;
+use super::permit;
 use super::request::Request;
 use super::send::Classification;
 use super::send::Send;
@@ -190,6 +191,7 @@
     /// for all of them immediately.
     async fn wait_for_target(&self, position: Position) -> Result<Target, &'static str> {
         let wait_end = self.request.deadline.min(clock::now() + MAX_WAIT);
+        let mut has_asked = false;
         loop {
             // Created before the check, so that room signalled during it is not missed.
             let room_signal = self.context.room.notified();
@@ -218,6 +220,10 @@
                     self.log_sent(&target, load, position);
                     return Ok(target);
                 }
+                Choice::Full(_) if now < wait_end && !has_asked => {
+                    has_asked = true;
+                    permit::ask(&self.context, &criteria, wait_end - now).await;
+                }
                 Choice::Full(_) if now < wait_end => {
                     // Whether room was signalled or the time is up, the targets are checked again.
                     let _ = timeout(wait_end - now, room_signal).await;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -135,7 +135,7 @@
     let renewed = context
         .heartbeats()
         .take_renewals(now, controller, HEARTBEAT_RETENTION);
-    let balancer = context.balancer();
+    let mut balancer = context.balancer();
     Report {
         gateway: identity.to_owned(),
         targets: state.targets.revision(),
@@ -146,6 +146,8 @@
         demand: context.demand().averages(now).clone(),
         heartbeat_address: (!is_draining).then(|| heartbeat_address.to_owned()),
         renewed,
+        limits: balancer.limit_notices(now),
+        asks: balancer.take_asks(now),
         evidence: context.evidence(now),
     }
 }
@@ -221,10 +223,14 @@
         zones_out: overview.zones_out,
         running: state.targets.by_target(&running),
         stalled: overview.stalled,
+        granted: overview.granted,
         share: share(sent.demand, overview.demand, overview.gateways),
         gateways: overview.gateways,
     };
-    context.balancer().update(clock::now(), &table);
+    let mut balancer = context.balancer();
+    balancer.update(clock::now(), &table);
+    context.metrics.limited_targets.set(balancer.limited() as i64);
+    drop(balancer);
     let confirmed_at = sent.at.saturating_sub(Duration::from_millis(overview.age_ms));
     context.renew_lease(confirmed_at, has_new_targets);
     context.controllers.set_controllers(&overview.controllers);
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -39,6 +39,7 @@
         model: Some("large".to_owned()),
         slots: 10,
         cold: false,
+        limit: None,
     }
 }
 
@@ -362,7 +363,7 @@
     assert!(times[9] - times[0] > ms(500));
 }
 
-fn ask(balancer: &Balancer, now: u64, service: &Service) -> Choice {
+fn ask(balancer: &mut Balancer, now: u64, service: &Service) -> Choice {
     balancer.choose(ms(now), &criteria(service, &[]))
 }
 
@@ -387,17 +388,17 @@
         assert_eq!(chosen_id(balancer.choose(ms(30), &criteria)), "b");
     }
     balancer.record_notice(ms(40), &target("b", "z1"), notice);
-    assert_eq!(ask(&balancer, 50, &service), Choice::NoTarget);
+    assert_eq!(ask(&mut balancer, 50, &service), Choice::NoTarget);
     // Listed again, by a leader that has not heard of it.
     balancer.update(ms(60), &table(Vec::new()));
     balancer.update(ms(70), &table(vec![target("a", "z1")]));
-    assert_eq!(ask(&balancer, 80, &service), Choice::NoTarget);
+    assert_eq!(ask(&mut balancer, 80, &service), Choice::NoTarget);
     let restarted = Target {
         incarnation: 2,
         ..target("a", "z1")
     };
     balancer.update(ms(90), &table(vec![restarted]));
-    assert_eq!(chosen_id(ask(&balancer, 100, &service)), "a");
+    assert_eq!(chosen_id(ask(&mut balancer, 100, &service)), "a");
 }
 
 #[test]
@@ -412,14 +413,14 @@
     balancer.record_notice(ms(0), &target("a", "z1"), pause(2_000));
     // A shorter one does not end it early.
     balancer.record_notice(ms(10), &target("a", "z1"), pause(100));
-    assert_eq!(chosen_id(ask(&balancer, 500, &service)), "b");
+    assert_eq!(chosen_id(ask(&mut balancer, 500, &service)), "b");
     balancer.record_notice(ms(500), &target("b", "z1"), pause(1_000));
     // Refused with the time until the first of the two takes requests again.
-    assert_eq!(ask(&balancer, 600, &service), Choice::Full(ms(900)));
+    assert_eq!(ask(&mut balancer, 600, &service), Choice::Full(ms(900)));
     // A table in between changes nothing.
     balancer.update(ms(700), &table(vec![target("a", "z1"), target("b", "z1")]));
-    assert_eq!(ask(&balancer, 1_499, &service), Choice::Full(ms(50)));
-    assert_eq!(chosen_id(ask(&balancer, 1_501, &service)), "b");
+    assert_eq!(ask(&mut balancer, 1_499, &service), Choice::Full(ms(50)));
+    assert_eq!(chosen_id(ask(&mut balancer, 1_501, &service)), "b");
 }
 
 /// During a change of leader the gateways get no tables. With the counts of a busy moment they all refused
@@ -431,13 +432,13 @@
     let mut table = table(vec![target("a", "z1")]);
     table.running.insert("a".to_owned(), 10);
     balancer.update(ms(1_000), &table);
-    assert!(matches!(ask(&balancer, 1_000, &service), Choice::Full(_)));
-    assert!(matches!(ask(&balancer, 1_400, &service), Choice::Full(_)));
-    let load = |now| match ask(&balancer, now, &service) {
+    assert!(matches!(ask(&mut balancer, 1_000, &service), Choice::Full(_)));
+    assert!(matches!(ask(&mut balancer, 1_400, &service), Choice::Full(_)));
+    let mut load = |now| match ask(&mut balancer, now, &service) {
         Choice::Send { load, .. } => load,
         other => panic!("{other:?} at {now} ms"),
     };
     assert_eq!((load(1_900), load(2_400)), (5, 0));
     balancer.update(ms(2_500), &table);
-    assert!(matches!(ask(&balancer, 2_500, &service), Choice::Full(_)));
+    assert!(matches!(ask(&mut balancer, 2_500, &service), Choice::Full(_)));
 }
--- a/tests/engine_figures.rs
+++ b/tests/engine_figures.rs
@@ -77,6 +77,7 @@
         model: Some("large".to_owned()),
         slots: 1,
         cold: false,
+        limit: None,
     };
     let table = Table {
         targets: Some(vec![target]),
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -66,6 +66,7 @@
         model: None,
         slots: 8,
         cold: false,
+        limit: None,
     }
 }
 
