--- a/tests/site/crash.rs
+++ b/tests/site/crash.rs
@@ -30,14 +30,15 @@
 /// Events of a whole answer.
 const EVENTS: u64 = 10;
 
-/// Upstream that crashes when told to, and when it begins to answer a request with the bad part.
+/// Upstream that crashes when told to, and when it begins to answer a request whose path or prompt parts hold
+/// the bad part.
 #[derive(Clone)]
 pub struct Upstream {
     address: SocketAddr,
     bad_part: &'static str,
     /// When the upstream crashed.
     pub crashes: Arc<Mutex<Vec<Instant>>>,
-    /// Arrival and prompt parts of each request.
+    /// Arrival of each request, with its path and prompt parts.
     pub requests: Arc<Mutex<Vec<(Instant, String)>>>,
     crash: Arc<Notify>,
 }
@@ -115,9 +116,11 @@
     /// Answers requests on a connection until either side closes it.
     async fn serve(self, mut stream: TcpStream, restarts: u64) {
         while let Some(head) = read_request(&mut stream).await {
-            let parts = header(&head, "x-prefix-hash").unwrap_or_default().to_owned();
-            let is_bad = parts.contains(self.bad_part);
-            self.requests.lock().unwrap().push((Instant::now(), parts));
+            let parts = header(&head, "x-prefix-hash").unwrap_or_default();
+            let path = head.split_whitespace().nth(1).unwrap_or_default();
+            let mark = format!("{path} {parts}");
+            let is_bad = mark.contains(self.bad_part);
+            self.requests.lock().unwrap().push((Instant::now(), mark));
             // Every third crash ends the process before the head goes out.
             let has_head = !is_bad || restarts % 3 != 2;
             let answer_head = format!("{}transfer-encoding: chunked\r\n\r\n", answer_head(&head));
