gateway: log the fingerprint of requests whose sends fail

Failed sends named prompt parts only, so nothing showed whether the requests in progress at several crashes were the same. No request is treated otherwise.

--- a/src/domain/quarantine/mod.rs
+++ b/src/domain/quarantine/mod.rs
@@ -6,10 +6,13 @@
 //! a culprit for being in a crash once.
 
 mod attribution;
+mod fingerprint;
 mod observations;
 mod report;
 
 pub use attribution::Attribution;
+pub use fingerprint::fingerprint;
+pub use fingerprint::is_fingerprint;
 pub use observations::Observations;
 pub use report::Crash;
 pub use report::Evidence;
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -22,6 +22,7 @@
 use crate::adapters::http1::Body;
 use crate::domain::catalog::Access;
 use crate::domain::catalog::Route;
+use crate::domain::quarantine::fingerprint;
 use crate::logging;
 use crate::platform::header as platform_header;
 
@@ -106,15 +107,17 @@
     let parts = header_text(&head.headers, platform_header::PROMPT_PARTS)
         .map(platform_header::parse_prompt_parts)
         .unwrap_or_default();
+    let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
     Ok(Request {
         id: id.to_owned(),
+        fingerprint: fingerprint(path.as_str(), account.as_deref(), &body),
         deadline: deadline(&head.headers, &route, started),
         model,
         tokens,
         parts,
         service,
         method: head.method,
-        path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
+        path,
         headers: upstream_headers(head.headers, account.as_deref()),
         account,
         body,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -53,6 +53,8 @@
     pub(super) tokens: Option<(u64, u64)>,
     /// Identifiers of the prompt's parts in order, without the last one, which belongs to this request alone.
     pub(super) parts: Vec<String>,
+    /// Fingerprint that all attempts of the same request share.
+    pub(super) fingerprint: String,
     pub(super) method: Method,
     pub(super) path: PathAndQuery,
     /// Headers for upstreams, without those that differ between sends.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -327,8 +327,11 @@
             ("first_ms", self.first_ms.into()),
             ("after_ms", elapsed_ms(&self.request).into()),
         ];
-        if end == "broken" && !parts.is_empty() {
-            fields.push(("parts", parts.as_str().into()));
+        if end == "broken" {
+            fields.push(("fingerprint", self.request.fingerprint.as_str().into()));
+            if !parts.is_empty() {
+                fields.push(("parts", parts.as_str().into()));
+            }
         }
         event.log_fields(&fields);
     }
