quarantine: requests that crash upstreams are known by path, client account and body

Cause: what was quarantined were parts of prompts, and this request has none; the class is, as before, retrying without asking whether the request is the cause.

The fingerprint of a request is one more mark of it, so evidence, decision, log command, release and refusal are those of a part; no new log command. Ends of processes within 250 ms count as one outage unless the request was sent after the one before had ended. A request that was taken for the culprit is released when others explain all of its crashes. Crashes are reported at once and then each 500 ms. Gauge quarantined_requests, refusals by reason.

--- a/src/domain/fleet/quarantine.rs
+++ b/src/domain/fleet/quarantine.rs
@@ -12,6 +12,7 @@
 use super::event::Action;
 use crate::domain::quarantine::Attribution;
 use crate::domain::quarantine::Evidence;
+use crate::domain::quarantine::is_fingerprint;
 
 /// Shortest interval between two decisions, while new evidence arrives.
 const BUSY_INTERVAL: Duration = Duration::from_millis(50);
@@ -67,19 +68,21 @@
         self.suspects = self.attribution.suspects(now);
         self.pending.retain(|_, at| now < *at + PROPOSAL_TIMEOUT);
         self.update_held(now, held);
-        let is_idle = |part: &String| {
+        let culprits = self.attribution.culprits(now);
+        let is_released = |part: &String| {
             let since = self.held_since[part];
-            now >= since + RELEASE_TIME || self.attribution.has_run_since(part, since)
+            let is_exonerated = is_fingerprint(part) && self.attribution.is_exonerated(part, &culprits);
+            now >= since + RELEASE_TIME || self.attribution.has_run_since(part, since) || is_exonerated
         };
-        let released = held.keys().filter(|part| is_idle(part)).cloned();
+        let released = held.keys().filter(|part| is_released(part)).cloned();
         let mut commands: Vec<Command> = released.map(|part| Command::Release { part }).collect();
         // A part that left the quarantine to make room stays out of it until it is in another crash.
         let is_new = |part: &String| {
             let known = self.held_since.get(part);
             !held.contains_key(part) && known.is_none_or(|at| self.attribution.latest_crash(part) > Some(*at))
         };
-        let culprits = self.attribution.culprits(now).into_iter().filter(is_new);
-        commands.extend(culprits.map(|part| Command::Quarantine { part }));
+        let culprits: Vec<String> = culprits.iter().filter(|part| is_new(part)).cloned().collect();
+        commands.extend(culprits.into_iter().map(|part| Command::Quarantine { part }));
         commands.retain(|command| match command {
             Command::Quarantine { part } | Command::Release { part } => !self.pending.contains_key(part),
             _ => true,
--- a/src/domain/quarantine/attribution.rs
+++ b/src/domain/quarantine/attribution.rs
@@ -1,5 +1,8 @@
 //! The decision, at the leader: which part explains the crashes that all gateways have seen.
 //!
+//! A request has several marks: the parts of its prompt, and its fingerprint, which comes after them. What is said
+//! of parts here holds for fingerprints too.
+//!
 //! An incident is the end of one process. A part counts in it if it was in a request in progress there and
 //! has not run soundly since. The part that counts in the most incidents explains them, and none of these
 //! counts against another part; so parts that only accompany a bad one are left with too few. Parts that
@@ -11,6 +14,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::fingerprint::is_fingerprint;
 use super::report::Evidence;
 
 /// Incidents that a part must explain to be a culprit.
@@ -25,7 +29,7 @@
 const EXPIRY_MS: i64 = 5 * 60 * 1_000;
 /// Incidents that are kept; the latest.
 const MAX_INCIDENTS: usize = 512;
-/// Parts that are kept of one incident.
+/// Parts that are kept of one incident, and likewise fingerprints.
 const MAX_INCIDENT_PARTS: usize = 64;
 /// Parts whose sound runs are kept; the latest.
 const MAX_SOUND_PARTS: usize = 4_096;
@@ -40,10 +44,40 @@
     at: i64,
     /// When the leader first heard of it.
     heard_at: Duration,
-    /// Parts of the requests, each with its last place in their prompts.
-    parts: BTreeMap<String, usize>,
+    /// Marks of the requests.
+    parts: BTreeMap<String, Presence>,
+}
+
+impl Incident {
+    /// Number of fingerprints if `mark` is one, else of parts.
+    fn count_like(&self, mark: &str) -> usize {
+        let is_alike = |known: &&String| is_fingerprint(known) == is_fingerprint(mark);
+        self.parts.keys().filter(is_alike).count()
+    }
+}
+
+/// Presence of a mark in one incident.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Presence {
+    /// Last place in a prompt.
+    place: usize,
+    /// When a request with the mark was sent to the process last, if that is known and the mark is a
+    /// fingerprint.
+    sent: Option<i64>,
 }
 
+impl Presence {
+    fn merged(self, other: Presence) -> Presence {
+        Presence {
+            place: self.place.max(other.place),
+            sent: self.sent.max(other.sent),
+        }
+    }
+}
+
+/// Time of an incident, and when a request with a mark was sent there.
+type Occurrence = (i64, Option<i64>);
+
 /// Part that may explain incidents.
 #[derive(Clone, Copy)]
 struct Candidate<'a> {
@@ -86,11 +120,18 @@
             incident.at = at.min(incident.at);
             incident.heard_at = now.min(incident.heard_at);
             for (place, part) in crash.parts.iter().enumerate() {
+                let sent = crash.sent_age_ms.filter(|_| is_fingerprint(part));
+                let presence = Presence {
+                    place,
+                    sent: sent.map(|age_ms| time(now, age_ms)),
+                };
                 if let Some(known) = incident.parts.get_mut(part) {
-                    is_new |= place > *known;
-                    *known = place.max(*known);
-                } else if incident.parts.len() < MAX_INCIDENT_PARTS {
-                    incident.parts.insert(part.clone(), place);
+                    let merged = known.merged(presence);
+                    // Each report gives a slightly different time of the same send.
+                    is_new |= merged.place > known.place;
+                    *known = merged;
+                } else if incident.count_like(part) < MAX_INCIDENT_PARTS {
+                    incident.parts.insert(part.clone(), presence);
                     is_new = true;
                 }
             }
@@ -119,17 +160,17 @@
         loop {
             by_part.retain(|_, positions| {
                 positions.retain(|(p, _)| !is_explained[*p]);
-                outages(positions.iter().map(|(p, _)| incidents[*p].at)) >= MIN_INCIDENTS
+                outages(occurrences(&incidents, positions)) >= MIN_INCIDENTS
             });
             let candidates = by_part.iter().map(|(part, positions)| Candidate {
                 part,
                 sound: self.sound.get(*part).copied(),
                 place: positions
                     .iter()
-                    .map(|(_, place)| *place)
+                    .map(|(_, presence)| presence.place)
                     .max()
                     .unwrap_or_default(),
-                count: outages(positions.iter().map(|(p, _)| incidents[*p].at)),
+                count: outages(occurrences(&incidents, positions)),
             });
             let Some(best) = candidates.reduce(better) else {
                 return culprits;
@@ -153,9 +194,10 @@
     pub fn suspects(&self, _now: Duration) -> Vec<String> {
         let mut incidents: Vec<&Incident> = self.incidents.values().collect();
         incidents.sort_by_key(|i| i.at);
-        let rank = |(part, positions): (_, Vec<(usize, usize)>)| {
-            let times = positions.iter().map(|(p, _)| incidents[*p].at);
-            (Reverse(outages(times.clone())), Reverse(times.max()), part)
+        let rank = |(part, positions): (_, Vec<(usize, Presence)>)| {
+            let latest = positions.iter().map(|(p, _)| incidents[*p].at).max();
+            let count = outages(occurrences(&incidents, &positions));
+            (Reverse(count), Reverse(latest), part)
         };
         let mut ranks: Vec<_> = self.counted(&incidents).into_iter().map(rank).collect();
         ranks.sort_unstable();
@@ -181,6 +223,19 @@
         counted.map(|((target, _), _)| target.as_str()).collect()
     }
 
+    /// Whether other culprits explain the crashes that a mark seemed to explain.
+    pub fn is_exonerated(&self, mark: &str, culprits: &[String]) -> bool {
+        if culprits.iter().any(|c| c == mark) {
+            return false;
+        }
+        let mut counted = self
+            .incidents
+            .values()
+            .filter(|i| self.counts(i, mark))
+            .peekable();
+        counted.peek().is_some() && counted.all(|i| culprits.iter().any(|c| self.counts(i, c)))
+    }
+
     /// Time of the latest crash with a part.
     pub fn latest_crash(&self, part: &str) -> Option<Duration> {
         let incidents = self.incidents.values().filter(|i| i.parts.contains_key(part));
@@ -198,12 +253,12 @@
     }
 
     /// Positions of the incidents in which each part counts, with its place in the prompts there.
-    fn counted<'a>(&self, incidents: &[&'a Incident]) -> HashMap<&'a str, Vec<(usize, usize)>> {
-        let mut counted: HashMap<&str, Vec<(usize, usize)>> = HashMap::new();
+    fn counted<'a>(&self, incidents: &[&'a Incident]) -> HashMap<&'a str, Vec<(usize, Presence)>> {
+        let mut counted: HashMap<&str, Vec<(usize, Presence)>> = HashMap::new();
         for (position, incident) in incidents.iter().enumerate() {
             let parts = incident.parts.iter().filter(|(p, _)| self.counts(incident, p));
-            for (part, place) in parts {
-                counted.entry(part).or_default().push((position, *place));
+            for (part, presence) in parts {
+                counted.entry(part).or_default().push((position, *presence));
             }
         }
         counted
@@ -246,12 +301,25 @@
     if order.is_ge() { a } else { b }
 }
 
+/// Occurrences of a mark, given the positions of its incidents.
+fn occurrences<'a>(
+    incidents: &'a [&Incident],
+    positions: &'a [(usize, Presence)],
+) -> impl Iterator<Item = Occurrence> + 'a {
+    positions
+        .iter()
+        .map(|(position, presence)| (incidents[*position].at, presence.sent))
+}
+
 /// Number of outages in ascending times of incidents.
-fn outages(times: impl Iterator<Item = i64>) -> usize {
+///
+/// A request that was sent to a process after another one had ended is in no outage of both.
+fn outages(occurrences: impl Iterator<Item = Occurrence>) -> usize {
     let mut count = 0;
     let mut last_start = None;
-    for at in times {
-        if last_start.is_none_or(|start| at >= start + OUTAGE_MS) {
+    for (at, sent) in occurrences {
+        let is_further = |start: i64| at >= start + OUTAGE_MS || sent.is_some_and(|sent| sent >= start);
+        if last_start.is_none_or(is_further) {
             last_start = Some(at);
             count += 1;
         }
--- a/src/domain/quarantine/observations.rs
+++ b/src/domain/quarantine/observations.rs
@@ -3,39 +3,79 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::fingerprint::is_fingerprint;
 use super::report::Crash;
 use super::report::Evidence;
 use super::report::REPORTED_TIME;
 
 /// Crashes that a gateway keeps.
 const MAX_CRASHES: usize = 64;
-/// Parts in each of the two generations of sound runs; both together hold 4,096.
-const MAX_GENERATION_PARTS: usize = 2_048;
+/// Marks in each of the two generations of sound runs; both together hold 4,096.
+const MAX_GENERATION_MARKS: usize = 2_048;
+/// Interval at which crashes are reported again while no further one is seen.
+const RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Request in progress at a target whose process ended.
 #[derive(Clone, Debug)]
 struct Casualty {
     at: Duration,
+    sent_at: Duration,
     target: String,
     incarnation: u64,
     parts: Vec<String>,
 }
 
+/// Latest sound run of each mark, in two generations.
+#[derive(Clone, Debug, Default)]
+struct SoundRuns {
+    /// Once full, it replaces `earlier`, which drops the marks that have not run for longest without a search
+    /// for them.
+    latest: HashMap<String, Duration>,
+    earlier: HashMap<String, Duration>,
+}
+
+impl SoundRuns {
+    fn record(&mut self, now: Duration, mark: &str) {
+        if let Some(at) = self.latest.get_mut(mark) {
+            *at = now;
+            return;
+        }
+        if self.latest.len() >= MAX_GENERATION_MARKS {
+            self.earlier = std::mem::take(&mut self.latest);
+        }
+        self.latest.insert(mark.to_owned(), now);
+    }
+
+    fn get(&self, mark: &str) -> Option<Duration> {
+        self.latest.get(mark).or_else(|| self.earlier.get(mark)).copied()
+    }
+}
+
 /// Crashes and sound runs that one gateway has seen.
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
     /// Latest crashes, the oldest first.
     crashes: Vec<Casualty>,
-    /// Latest sound run of each part. Once full, it replaces `earlier_sound`, which drops the parts that
-    /// have not run for longest without a search for them.
-    sound: HashMap<String, Duration>,
-    earlier_sound: HashMap<String, Duration>,
+    /// Whether a crash was recorded since the last report.
+    has_new_crash: bool,
+    /// When crashes were reported last.
+    reported_at: Duration,
+    sound_parts: SoundRuns,
+    /// Apart from the parts, since there are far more of them.
+    sound_fingerprints: SoundRuns,
 }
 
 impl Observations {
-    /// Records a request that was in progress at a target when its process ended, unless the request has
-    /// shown by then that it is sound.
-    pub fn record_crash(&mut self, now: Duration, target: &str, incarnation: u64, parts: &[String]) {
+    /// Records a request, sent at `sent_at`, that was in progress at a target when its process ended, unless the
+    /// request has shown by then that it is sound.
+    pub fn record_crash(
+        &mut self,
+        now: Duration,
+        sent_at: Duration,
+        target: &str,
+        incarnation: u64,
+        parts: &[String],
+    ) {
         self.crashes.retain(|c| now <= c.at + REPORTED_TIME);
         let is_same = |c: &Casualty| c.target == target && c.incarnation == incarnation;
         // A request whose parts begin another one's shows nothing more.
@@ -46,8 +86,10 @@
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.remove(self.least_useful());
         }
+        self.has_new_crash = true;
         self.crashes.push(Casualty {
             at: now,
+            sent_at,
             target: target.to_owned(),
             incarnation,
             parts: parts.to_vec(),
@@ -57,18 +99,28 @@
     /// Records that an answer to a prompt with these parts has got past its first events.
     pub fn record_sound(&mut self, now: Duration, parts: &[String]) {
         for part in parts {
-            if let Some(at) = self.sound.get_mut(part) {
-                *at = now;
-                continue;
-            }
-            if self.sound.len() >= MAX_GENERATION_PARTS {
-                self.earlier_sound = std::mem::take(&mut self.sound);
+            match is_fingerprint(part) {
+                true => self.sound_fingerprints.record(now, part),
+                false => self.sound_parts.record(now, part),
             }
-            self.sound.insert(part.clone(), now);
         }
     }
 
-    /// Evidence for the leader, which has asked about the parts `asked`.
+    /// Evidence for the next report to the leader, which has asked about the parts `asked`.
+    ///
+    /// Crashes are left out when they were reported lately, and no further one was seen since.
+    pub fn report(&mut self, now: Duration, asked: &[String]) -> Evidence {
+        let mut evidence = self.evidence(now, asked);
+        if self.has_new_crash || now >= self.reported_at + RESEND_INTERVAL {
+            self.has_new_crash = false;
+            self.reported_at = now;
+        } else {
+            evidence.crashes.clear();
+        }
+        evidence
+    }
+
+    /// All evidence for the leader, which has asked about the parts `asked`.
     pub fn evidence(&self, now: Duration, asked: &[String]) -> Evidence {
         let recent = self.crashes.iter().filter(|c| now <= c.at + REPORTED_TIME);
         let crashes = recent.map(|c| Crash {
@@ -76,9 +128,13 @@
             incarnation: c.incarnation,
             parts: c.parts.clone(),
             age_ms: now.saturating_sub(c.at).as_millis() as u64,
+            sent_age_ms: Some(now.saturating_sub(c.sent_at).as_millis() as u64),
         });
-        let latest = |part: &String| self.sound.get(part).or_else(|| self.earlier_sound.get(part));
-        let age_ms = |at: &Duration| now.saturating_sub(*at).as_millis() as u64;
+        let latest = |part: &String| match is_fingerprint(part) {
+            true => self.sound_fingerprints.get(part),
+            false => self.sound_parts.get(part),
+        };
+        let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
         let sound = asked
             .iter()
             .filter_map(|part| Some((part.clone(), age_ms(latest(part)?))));
--- a/src/domain/quarantine/report.rs
+++ b/src/domain/quarantine/report.rs
@@ -12,18 +12,21 @@
 /// Crashes in the merged evidence of several gateways; the youngest are kept.
 const MAX_MERGED_CRASHES: usize = 512;
 
-/// Parts of one request that was in progress at a target when its process ended, and that had not shown
-/// by then that it is sound.
+/// Marks of one request that was in progress at a target when its process ended, and that had not shown
+/// by then that it is sound: the parts of its prompt and its fingerprint.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Crash {
     /// Identifier of the target.
     pub target: String,
     /// Incarnation of the process that ended.
     pub incarnation: u64,
-    /// Parts of the request's prompt in order, without the last one.
+    /// Parts of the request's prompt in order, without the last one; then its fingerprint.
     pub parts: Vec<String>,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
+    /// Time since the request was sent to the target, in milliseconds; earlier versions do not report it.
+    #[serde(default)]
+    pub sent_age_ms: Option<u64>,
 }
 
 /// What one or several gateways have seen.
@@ -35,12 +38,18 @@
     pub sound: BTreeMap<String, u64>,
 }
 
+/// Target, incarnation and marks of a crash.
+type CrashKey<'a> = (&'a str, u64, &'a [String]);
+/// Time since a crash and since the request was sent, in milliseconds.
+type Ages = (u64, Option<u64>);
+
 impl Evidence {
     /// Merged evidence of several gateways, each with the time since it arrived.
     ///
-    /// A crash that several report has the highest of its ages, a part the age of its latest sound run.
+    /// A crash that several report has the highest of its ages and the latest time of sending, a part the age of
+    /// its latest sound run.
     pub fn merged<'a>(evidence: impl IntoIterator<Item = (&'a Evidence, Duration)>) -> Self {
-        let mut ages: HashMap<(&str, u64, &[String]), u64> = HashMap::new();
+        let mut ages: HashMap<CrashKey, Ages> = HashMap::new();
         let mut sound: BTreeMap<String, u64> = BTreeMap::new();
         for (evidence, elapsed) in evidence {
             let elapsed_ms = elapsed.as_millis() as u64;
@@ -50,8 +59,10 @@
                     continue;
                 }
                 let key = (crash.target.as_str(), crash.incarnation, crash.parts.as_slice());
-                let age = ages.entry(key).or_default();
+                let sent = crash.sent_age_ms.map(|ms| ms.saturating_add(elapsed_ms));
+                let (age, sent_age) = ages.entry(key).or_insert((age_ms, sent));
                 *age = age_ms.max(*age);
+                *sent_age = [*sent_age, sent].into_iter().flatten().min();
             }
             for (part, age_ms) in &evidence.sound {
                 let age_ms = age_ms.saturating_add(elapsed_ms);
@@ -61,16 +72,17 @@
                 }
             }
         }
-        let mut crashes: Vec<_> = ages.into_iter().map(|(key, age_ms)| (age_ms, key)).collect();
+        let mut crashes: Vec<_> = ages.into_iter().map(|(key, ages)| (ages, key)).collect();
         crashes.sort_unstable();
         crashes.truncate(MAX_MERGED_CRASHES);
         let crashes = crashes
             .into_iter()
-            .map(|(age_ms, (target, incarnation, parts))| Crash {
+            .map(|((age_ms, sent_age_ms), (target, incarnation, parts))| Crash {
                 target: target.to_owned(),
                 incarnation,
                 parts: parts.to_vec(),
                 age_ms,
+                sent_age_ms,
             });
         Evidence {
             crashes: crashes.collect(),
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -108,9 +108,11 @@
         .map(platform_header::parse_prompt_parts)
         .unwrap_or_default();
     let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let mut marks = parts.clone();
+    marks.push(fingerprint(path.as_str(), account.as_deref(), &body));
     Ok(Request {
         id: id.to_owned(),
-        fingerprint: fingerprint(path.as_str(), account.as_deref(), &body),
+        marks,
         deadline: deadline(&head.headers, &route, started),
         model,
         tokens,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -28,6 +28,7 @@
 use crate::domain::gateway::Settings;
 use crate::domain::quarantine::Evidence;
 use crate::domain::quarantine::Observations;
+use crate::domain::quarantine::is_fingerprint;
 
 /// The catalog's lease ends this long before `revocation_ms`, the time after which a withdrawn key must
 /// not work anywhere, so that requests admitted last still reach their upstream in time.
@@ -189,18 +190,21 @@
     /// Evidence for the next report.
     pub(super) fn evidence(&self, now: Duration) -> Evidence {
         let quarantine = self.quarantine.read().expect("no panic under this lock");
-        self.observations().evidence(now, &quarantine.suspects)
+        self.observations().report(now, &quarantine.suspects)
     }
 
-    /// First of `parts` that is in quarantine.
-    pub(super) fn quarantined_part(&self, parts: &[String]) -> Option<String> {
+    /// First of `marks` that is in quarantine.
+    pub(super) fn quarantined_mark(&self, marks: &[String]) -> Option<String> {
         let quarantine = self.quarantine.read().expect("no panic under this lock");
-        parts.iter().find(|p| quarantine.parts.contains(*p)).cloned()
+        marks.iter().find(|p| quarantine.parts.contains(*p)).cloned()
     }
 
     /// Replaces the parts that the leader asks about, and those in quarantine.
     pub(super) fn set_quarantine(&self, suspects: &[String], quarantined: &[String]) {
-        self.metrics.quarantined_parts.set(quarantined.len() as i64);
+        let requests = quarantined.iter().filter(|mark| is_fingerprint(mark)).count();
+        let parts = quarantined.len() - requests;
+        self.metrics.quarantined_parts.set(parts as i64);
+        self.metrics.quarantined_requests.set(requests as i64);
         let mut quarantine = self.quarantine.write().expect("no panic under this lock");
         quarantine.suspects = suspects.to_vec();
         let is_same = quarantine.parts.len() == quarantined.len()
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -139,7 +139,7 @@
             ("reason", reason.into()),
             ("sends", (self.tried.len() as u64).into()),
             ("after_ms", elapsed_ms(self.request).into()),
-            ("fingerprint", self.request.fingerprint.as_str().into()),
+            ("fingerprint", self.request.fingerprint().into()),
         ];
         if !parts.is_empty() {
             fields.push(("parts", parts.as_str().into()));
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -50,7 +50,7 @@
         return answer::plain_text(StatusCode::BAD_GATEWAY, "the route's service is gone");
     };
     let request = Arc::new(request);
-    if context.quarantined_part(&request.parts).is_none() {
+    if context.quarantined_mark(&request.marks).is_none() {
         context
             .budget()
             .record_request(clock::now(), &context.settings, &service.name);
@@ -117,11 +117,11 @@
             if clock::now() + MIN_TIME_LEFT >= self.request.deadline {
                 return self.give_up(StatusCode::GATEWAY_TIMEOUT, "deadline");
             }
-            if let Some(part) = self.context.quarantined_part(&self.request.parts) {
+            if let Some(mark) = self.context.quarantined_mark(&self.request.marks) {
                 if self.runs > 0 {
-                    return self.give_up(StatusCode::BAD_GATEWAY, evidence::REASON);
+                    return self.give_up(StatusCode::BAD_GATEWAY, evidence::reason(&mark));
                 }
-                return evidence::refuse(self.context, self.request, &part);
+                return evidence::refuse(self.context, self.request, &mark);
             }
             let is_retry = !self.tried.is_empty();
             if is_retry && !self.may_send_again() {
@@ -183,8 +183,8 @@
         loop {
             // Created before the check, so that room signalled during it is not missed.
             let room_signal = self.context.room.notified();
-            if self.context.quarantined_part(&self.request.parts).is_some() {
-                return Err((evidence::REASON, evidence::RETRY_AFTER));
+            if let Some(mark) = self.context.quarantined_mark(&self.request.marks) {
+                return Err((evidence::reason(&mark), evidence::RETRY_AFTER));
             }
             let criteria = self.criteria(reserve);
             let choice = self.context.balancer().choose(clock::now(), &criteria);
@@ -280,7 +280,7 @@
     /// Starts a send to a further target, beside one in progress, if limits allow it and a target has
     /// room immediately.
     fn start_second(&mut self) -> Option<impl Future<Output = (Send, Head)> + use<>> {
-        let is_quarantined = self.context.quarantined_part(&self.request.parts).is_some();
+        let is_quarantined = self.context.quarantined_mark(&self.request.marks).is_some();
         if !self.may_add_send() || is_quarantined || clock::now() + MIN_TIME_LEFT >= self.request.deadline {
             return None;
         }
--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -1,6 +1,7 @@
-//! Evidence on prompt parts: which runs were sound, and which ended because their upstream's process ended.
+//! Evidence on the marks of requests, which are their prompt parts and their fingerprint: which runs were sound, and
+//! which ended because their upstream's process ended.
 //!
-//! A part in quarantine is one of which the leader has seen enough crashes; requests with it are refused.
+//! A mark in quarantine is one of which the leader has seen enough crashes; requests with it are refused.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -20,12 +21,15 @@
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Framing;
 use crate::domain::fleet::Target;
+use crate::domain::quarantine::is_fingerprint;
 use crate::logging;
 
 /// Reason of a refusal for a prompt part.
-pub(super) const REASON: &str = "a prompt part is in quarantine";
+const PART_REASON: &str = "a prompt part is in quarantine";
+/// Reason of a refusal for the request itself.
+const REQUEST_REASON: &str = "the request is in quarantine";
 
-/// Delay before a caller should retry a prompt with a part in quarantine; it may be released earlier.
+/// Delay before a caller should retry a request with a mark in quarantine; it may be released earlier.
 pub(super) const RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Events after which a run is sound: upstreams crash on a part when they begin to write the answer.
 const SOUND_EVENTS: usize = 3;
@@ -37,8 +41,15 @@
 /// Requests that wait for the result of one check.
 const MAX_WAITING: usize = 64;
 
-/// Checks under way, by target and incarnation, with the prompt parts of the requests that broke there.
-pub(super) type Checks = BTreeMap<(String, u64), Vec<Vec<String>>>;
+/// Request whose connection to a target was lost.
+pub(super) struct Lost {
+    at: Duration,
+    sent_at: Duration,
+    marks: Vec<String>,
+}
+
+/// Checks under way, by target and incarnation, with the requests that broke there.
+pub(super) type Checks = BTreeMap<(String, u64), Vec<Lost>>;
 
 /// What one run of a stream shows of the prompt parts of its request.
 #[derive(Default)]
@@ -84,9 +95,7 @@
 }
 
 fn record_sound(context: &Context, request: &Request) {
-    if !request.parts.is_empty() {
-        context.observations().record_sound(clock::now(), &request.parts);
-    }
+    context.observations().record_sound(clock::now(), &request.marks);
 }
 
 /// Checks whether the process of a target whose connection was lost has ended, and records the crash.
@@ -96,19 +105,21 @@
     let Ok(address) = send.target.address.parse() else {
         return;
     };
-    if request.parts.is_empty() {
-        return;
-    }
+    let lost = Lost {
+        at: clock::now(),
+        sent_at: send.started,
+        marks: request.marks.clone(),
+    };
     let mut checks = send.context.checks();
     let is_full = checks.len() >= MAX_CHECKS;
     let key = (send.target.id.clone(), send.target.incarnation);
     match checks.get_mut(&key) {
-        Some(waiting) if waiting.len() < MAX_WAITING => waiting.push(request.parts.clone()),
+        Some(waiting) if waiting.len() < MAX_WAITING => waiting.push(lost),
         // The requests that wait are evidence enough.
         Some(_) => {}
         None if is_full => {}
         None => {
-            checks.insert(key, vec![request.parts.clone()]);
+            checks.insert(key, vec![lost]);
             tokio::spawn(check(send.context.clone(), send.target.clone(), address));
         }
     }
@@ -127,22 +138,31 @@
     }
     let (id, incarnation) = key;
     let mut observations = context.observations();
-    for parts in waiting {
-        observations.record_crash(clock::now(), &id, incarnation, &parts);
+    for lost in waiting {
+        observations.record_crash(lost.at, lost.sent_at, &id, incarnation, &lost.marks);
+    }
+}
+
+/// Reason to send a request with this mark in quarantine no more.
+pub(super) fn reason(mark: &str) -> &'static str {
+    match is_fingerprint(mark) {
+        true => REQUEST_REASON,
+        false => PART_REASON,
     }
 }
 
-/// Refusal of a request with a part in quarantine; no target has executed the request.
-pub(super) fn refuse(context: &Context, request: &Request, part: &str) -> Response<Body> {
-    context.metrics.refusals.with_label_values(&[REASON]).inc();
+/// Refusal of a request with a mark in quarantine; no target has executed the request.
+pub(super) fn refuse(context: &Context, request: &Request, mark: &str) -> Response<Body> {
+    let reason = reason(mark);
+    context.metrics.refusals.with_label_values(&[reason]).inc();
     logging::REQUEST_REFUSED.log_fields(&[
         ("request", request.id.as_str().into()),
         ("route", request.route.name.as_str().into()),
-        ("reason", REASON.into()),
-        ("part", part.into()),
+        ("reason", reason.into()),
+        ("mark", mark.into()),
         ("version", request.catalog.version().into()),
         ("back_ms", (RETRY_AFTER.as_millis() as u64).into()),
         ("after_ms", elapsed_ms(request).into()),
     ]);
-    answer::unavailable(REASON, RETRY_AFTER)
+    answer::unavailable(reason, RETRY_AFTER)
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -35,6 +35,8 @@
     pub(super) limited_targets: IntGauge,
     /// Number of prompt parts in quarantine.
     pub(super) quarantined_parts: IntGauge,
+    /// Number of requests in quarantine.
+    pub(super) quarantined_requests: IntGauge,
     /// Events received from upstreams for callers.
     pub(super) events: IntCounter,
 }
@@ -53,6 +55,7 @@
             targets: gauge("targets", "Targets named by the leader"),
             limited_targets: gauge("limited_targets", "Targets with a rate limit of their own"),
             quarantined_parts: gauge("quarantined_parts", "Prompt parts in quarantine"),
+            quarantined_requests: gauge("quarantined_requests", "Requests in quarantine"),
             first_answer: registry.histograms(
                 "first_seconds",
                 "Time to the answer or its first event",
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -53,8 +53,8 @@
     pub(super) tokens: Option<(u64, u64)>,
     /// Identifiers of the prompt's parts in order, without the last one, which belongs to this request alone.
     pub(super) parts: Vec<String>,
-    /// Fingerprint that all attempts of the same request share.
-    pub(super) fingerprint: String,
+    /// What the request may be quarantined for: the parts, and the fingerprint that all its attempts share.
+    pub(super) marks: Vec<String>,
     pub(super) method: Method,
     pub(super) path: PathAndQuery,
     /// Headers for upstreams, without those that differ between sends.
@@ -67,6 +67,11 @@
 }
 
 impl Request {
+    /// Fingerprint that all attempts of the same request share.
+    pub(super) fn fingerprint(&self) -> &str {
+        self.marks.last().map_or("", String::as_str)
+    }
+
     /// Whether the request may be sent again when its outcome at an upstream is unknown.
     pub(super) fn is_repeatable(&self) -> bool {
         self.route.repeat != Repeat::Once
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -199,8 +199,8 @@
             if now >= self.request.deadline {
                 return Err("deadline");
             }
-            if self.context.quarantined_part(&self.request.parts).is_some() {
-                return Err(evidence::REASON);
+            if let Some(mark) = self.context.quarantined_mark(&self.request.marks) {
+                return Err(evidence::reason(&mark));
             }
             let criteria = Criteria {
                 service: &self.service,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -28,7 +28,8 @@
 pub(super) struct Send {
     pub(super) context: Arc<Context>,
     pub(super) target: Target,
-    started: Duration,
+    /// When the request was sent.
+    pub(super) started: Duration,
     /// Outcome to record on drop; `Abandoned` until [`Send::end`] sets another one.
     outcome: Outcome,
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -328,7 +328,7 @@
             ("after_ms", elapsed_ms(&self.request).into()),
         ];
         if end == "broken" {
-            fields.push(("fingerprint", self.request.fingerprint.as_str().into()));
+            fields.push(("fingerprint", self.request.fingerprint().into()));
             if !parts.is_empty() {
                 fields.push(("parts", parts.as_str().into()));
             }
--- a/src/logging/catalogue.rs
+++ b/src/logging/catalogue.rs
@@ -320,14 +320,14 @@
     name: "join_requested",
     module: "fleet",
 };
-/// Requests with a prompt part are refused from now on; logs the crashes that it explains and their targets.
+/// Requests with a prompt part, or with the fingerprint of one request, are refused from now on; logs the crashes that it explains and their targets.
 pub const PART_QUARANTINED: Event = Event {
     code: 512,
     level: Level::Warn,
     name: "part_quarantined",
     module: "fleet",
 };
-/// Requests with a prompt part are sent again.
+/// Requests with a prompt part or a fingerprint are sent again.
 pub const PART_RELEASED: Event = Event {
     code: 513,
     level: Level::Info,
--- a/tests/controllers/mod.rs
+++ b/tests/controllers/mod.rs
@@ -212,7 +212,7 @@
         let now = ms(self.now);
         self.gateways[gateway]
             .observations
-            .record_crash(now, target, 1, &strings(parts));
+            .record_crash(now, now, target, 1, &strings(parts));
     }
 
     pub fn run_soundly(&mut self, gateway: usize, parts: &[&str]) {
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -29,7 +29,7 @@
     let mut attribution = Attribution::default();
     for (i, observations) in observations.iter_mut().enumerate() {
         let at = ms(i as u64 * 500);
-        observations.record_crash(at, &format!("t{i}"), 1, &strings(&["first", "bad"]));
+        observations.record_crash(at, at, &format!("t{i}"), 1, &strings(&["first", "bad"]));
     }
     let evidence: Vec<Evidence> = observations.iter().map(|w| w.evidence(ms(1_500), &[])).collect();
     let merged = Evidence::merged(evidence.iter().map(|e| (e, ms(20))));
@@ -69,11 +69,12 @@
 #[test]
 fn a_gateway_reports_a_crash_for_five_seconds_with_its_age() {
     let mut observations = Observations::default();
-    observations.record_crash(ms(1_000), "t", 7, &strings(&["first", "bad"]));
-    observations.record_crash(ms(1_100), "t", 7, &strings(&["first"]));
+    observations.record_crash(ms(1_000), ms(1_000), "t", 7, &strings(&["first", "bad"]));
+    observations.record_crash(ms(1_100), ms(1_100), "t", 7, &strings(&["first"]));
     let evidence = observations.evidence(ms(3_000), &[]);
     let expected = Crash {
         age_ms: 2_000,
+        sent_age_ms: Some(2_000),
         ..crash("t", 7, &["first", "bad"])
     };
     assert_eq!(evidence.crashes, [expected]);
@@ -110,11 +111,11 @@
 #[test]
 fn a_crash_with_many_requests_does_not_displace_the_crashes_of_other_targets() {
     let mut observations = Observations::default();
-    observations.record_crash(ms(0), "one", 1, &strings(&["first", "bad"]));
+    observations.record_crash(ms(0), ms(0), "one", 1, &strings(&["first", "bad"]));
     for i in 0..200 {
-        observations.record_crash(ms(10), "many", 1, &["first".to_owned(), format!("p{i}")]);
+        observations.record_crash(ms(10), ms(10), "many", 1, &["first".to_owned(), format!("p{i}")]);
     }
-    observations.record_crash(ms(20), "two", 1, &strings(&["first", "bad"]));
+    observations.record_crash(ms(20), ms(20), "two", 1, &strings(&["first", "bad"]));
     let evidence = observations.evidence(ms(20), &[]);
     assert_eq!(evidence.crashes.len(), 64);
     for target in ["one", "two"] {
--- a/tests/incidents/mod.rs
+++ b/tests/incidents/mod.rs
@@ -1,4 +1,5 @@
 //! Evidence of crashes, as tests give it.
+#![allow(dead_code)]
 
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
         incarnation,
         parts: strings(parts),
         age_ms: 0,
+        sent_age_ms: None,
     }
 }
 
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -313,6 +313,7 @@
         incarnation,
         parts,
         age_ms,
+        sent_age_ms: None,
     });
     let sound = proptest::collection::btree_map(part(), 0u64..4_000, 0..3);
     let evidence = (proptest::collection::vec(crash, 0..3), sound);
