limits: the relay's and the balancer's part in files of their own; a bounded time to return

A refused caller was told up to an hour when the share of its gateway is small; ten seconds at most now, as other gateways may have a permit earlier. No other change of behaviour. tests/limits.rs, relay, distribution and the quarantine's tests pass.

--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -26,6 +26,7 @@
 mod lifecycle;
 pub mod log_membership;
 mod order;
+mod permits;
 mod plan;
 mod quarantine;
 mod reconciliation;
--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -22,14 +22,11 @@
 use super::TargetLog;
 use super::Timing;
 use super::event::Ticket;
-use super::share;
 use crate::domain::limit::Issuer;
-use crate::domain::limit::Notice;
-use crate::domain::limit::Rate;
 use crate::domain::quarantine::Evidence;
 
 /// Age of the leader's overview up to which reports are answered from it.
-const OVERVIEW_VALIDITY: Duration = Duration::from_millis(900);
+pub(super) const OVERVIEW_VALIDITY: Duration = Duration::from_millis(900);
 /// Age of the leader's overview up to which heartbeats are acknowledged: less than their interval, so
 /// that at most one heartbeat of a VM is acknowledged in vain.
 const HEARTBEAT_VALIDITY: Duration = Duration::from_millis(1_000);
@@ -66,9 +63,9 @@
 }
 
 /// Gateway and its latest report.
-struct Gateway {
-    report: Report,
-    reported_at: Duration,
+pub(super) struct Gateway {
+    pub(super) report: Report,
+    pub(super) reported_at: Duration,
 }
 
 /// Report that waits for a change before it is answered.
@@ -99,8 +96,8 @@
 }
 
 /// The leader's last overview.
-struct Held {
-    overview: Overview,
+pub(super) struct Held {
+    pub(super) overview: Overview,
     /// Requests in progress from gateways that report to other controllers, by target.
     running: BTreeMap<String, u32>,
     /// When the digest was sent that it answers.
@@ -111,18 +108,18 @@
 pub struct Relay {
     controller: Controller,
     timing: Timing,
-    gateways: BTreeMap<String, Gateway>,
+    pub(super) gateways: BTreeMap<String, Gateway>,
     /// Requests in progress from all gateways with a valid report, by target.
     running: BTreeMap<String, u32>,
     vms: BTreeMap<String, Vm>,
-    held: Option<Held>,
+    pub(super) held: Option<Held>,
     /// Targets as of the leader's last overview.
-    targets: TargetLog,
+    pub(super) targets: TargetLog,
     /// Changes of the zones out of service and of the quarantine that overviews have shown.
     urgent_changes: usize,
     polls: Vec<Poll>,
     /// Permits for targets with a rate limit.
-    issuer: Issuer,
+    pub(super) issuer: Issuer,
     /// Heartbeats in the digest that has no answer yet: VM, incarnation and sequence.
     in_flight: Vec<(String, u64, u64)>,
 }
@@ -236,19 +233,6 @@
         }
         stalled.sort_unstable();
         stalled.dedup();
-        let is_unlisted = |n: &&Notice| {
-            let listed = self.targets.get(&n.target).and_then(|t| t.limit);
-            listed != Some(n.limit)
-        };
-        let notices = fresh().flat_map(|g| {
-            let elapsed_ms = now.saturating_sub(g.reported_at).as_millis() as u64;
-            let unlisted = g.report.limits.iter().filter(is_unlisted);
-            unlisted.map(move |n| Notice {
-                age_ms: n.age_ms + elapsed_ms,
-                ..n.clone()
-            })
-        });
-        let limits = Notice::latest(notices);
         let evidence = fresh().map(|g| (&g.report.evidence, now.saturating_sub(g.reported_at)));
         Digest {
             controller: self.controller.clone(),
@@ -261,7 +245,7 @@
             demand,
             changed,
             renewed,
-            limits,
+            limits: self.unlisted_limits(now),
             evidence: Evidence::merged(evidence),
         }
     }
@@ -433,62 +417,6 @@
         self.issuer = issuer;
     }
 
-    /// Permits for a gateway, out of this relay's part of the limits.
-    fn grant(
-        &self,
-        now: Duration,
-        issuer: &mut Issuer,
-        gateway: &str,
-        overview: &Overview,
-    ) -> BTreeMap<String, u32> {
-        let Some(asks) = self.gateways.get(gateway).map(|g| &g.report.asks) else {
-            return BTreeMap::new();
-        };
-        if asks.is_empty() {
-            return BTreeMap::new();
-        }
-        let part = self.part_of_limits(now, overview);
-        let mut granted = BTreeMap::new();
-        for (target, ask) in asks.iter().filter(|(_, ask)| ask.wanted > 0) {
-            let Some(per_second) = self.limit_of(target) else {
-                continue;
-            };
-            let count = issuer.issue(now, target, per_second * part, ask.wanted);
-            if count > 0 {
-                granted.insert(target.clone(), count);
-            }
-        }
-        granted
-    }
-
-    /// Issues one permit for the first of `targets` that has one left.
-    fn issue_one(&mut self, now: Duration, targets: Vec<String>) -> Option<String> {
-        if !self.is_held_for(now, OVERVIEW_VALIDITY) {
-            return None;
-        }
-        let part = self.part_of_limits(now, &self.held.as_ref()?.overview);
-        targets.into_iter().find(|target| {
-            let per_second = self.limit_of(target);
-            per_second.is_some_and(|p| self.issuer.issue(now, target, p * part, 1) > 0)
-        })
-    }
-
-    /// Requests per second that a target takes from all gateways together; none without a limit.
-    fn limit_of(&self, target: &str) -> Option<f64> {
-        let limit = self.targets.get(target)?.limit?;
-        limit.rate().map(Rate::allowed_per_second)
-    }
-
-    /// Part of limits for all gateways that falls to those that report here, 0 to 1.
-    fn part_of_limits(&self, now: Duration, overview: &Overview) -> f64 {
-        let fresh = self.gateways.values().filter(|g| is_fresh(g, now));
-        let shares = fresh.map(|g| {
-            let demand = g.report.demand.values().sum();
-            share(demand, overview.demand, overview.gateways)
-        });
-        shares.sum::<f64>().min(1.0)
-    }
-
     /// Overview for gateways, without what depends on the data that each of them holds.
     fn common_overview(&self, held: &Held) -> Overview {
         let mut running = self.running.clone();
@@ -512,7 +440,7 @@
         }
     }
 
-    fn is_held_for(&self, now: Duration, validity: Duration) -> bool {
+    pub(super) fn is_held_for(&self, now: Duration, validity: Duration) -> bool {
         self.held.as_ref().is_some_and(|h| now < h.asked_at + validity)
     }
 
@@ -530,7 +458,7 @@
     }
 }
 
-fn is_fresh(gateway: &Gateway, now: Duration) -> bool {
+pub(super) fn is_fresh(gateway: &Gateway, now: Duration) -> bool {
     now < gateway.reported_at + REPORT_VALIDITY
 }
 
--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -17,9 +17,6 @@
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Table;
 use crate::domain::fleet::Target;
-use crate::domain::limit;
-use crate::domain::limit::Ask;
-use crate::domain::limit::Limit;
 use crate::domain::limit::Quotas;
 
 /// Load, as a fraction of an engine's request limit, from which on each gateway keeps to its own share
@@ -117,7 +114,7 @@
     /// Ends of the pauses that targets have asked for, by identifier.
     paused_until: BTreeMap<String, Duration>,
     /// Limits that targets have named.
-    quotas: Quotas,
+    pub(super) quotas: Quotas,
     /// This gateway's share, 0 to 1, of limits that apply to all gateways together.
     share: f64,
 }
@@ -196,18 +193,8 @@
         choice
     }
 
-    /// Targets that could take a request but for a permit, as of the last [`Balancer::choose`].
-    pub fn short_of_permits(&self, now: Duration, criteria: &Criteria) -> Vec<String> {
-        self.choose_within_quotas(now, criteria).1
-    }
-
-    /// Takes over a permit for target `id` that a relay has issued.
-    pub fn grant(&mut self, now: Duration, id: &str) {
-        self.quotas.grant(now, &BTreeMap::from([(id.to_owned(), 1)]));
-    }
-
     /// Chooses a target, and names the targets that only lacked a permit.
-    fn choose_within_quotas(&self, now: Duration, criteria: &Criteria) -> (Choice, Vec<String>) {
+    pub(super) fn choose_within_quotas(&self, now: Duration, criteria: &Criteria) -> (Choice, Vec<String>) {
         let candidates: Vec<&Tracker> = self
             .trackers
             .values()
@@ -354,27 +341,6 @@
         is_new
     }
 
-    /// Records the limit that `target` named, or that it named none, in an answer to a request that was sent
-    /// at `sent_at`; returns whether that is new.
-    pub fn record_limit(&mut self, now: Duration, sent_at: Duration, target: &Target, limit: Limit) -> bool {
-        self.quotas.record(now, sent_at, target, limit)
-    }
-
-    /// Limits that the leader does not list as this gateway knows them.
-    pub fn limit_notices(&self, now: Duration) -> Vec<limit::Notice> {
-        self.quotas.notices(now)
-    }
-
-    /// Permits to ask for and to return in the next report.
-    pub fn take_asks(&mut self, now: Duration) -> BTreeMap<String, Ask> {
-        self.quotas.take_asks(now)
-    }
-
-    /// Number of targets with a limit.
-    pub fn limited(&self) -> usize {
-        self.quotas.limited()
-    }
-
     fn is_leaving(&self, target: &Target) -> bool {
         !self.leaving.is_empty()
             && self
--- a/src/domain/gateway/mod.rs
+++ b/src/domain/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod demand;
 mod events;
+mod limits;
 mod settings;
 mod tracker;
 
--- a/src/domain/limit/quotas.rs
+++ b/src/domain/limit/quotas.rs
@@ -16,6 +16,8 @@
 const OWN_VALIDITY: Duration = Duration::from_millis(1_500);
 /// Time without an answer from a relay after which a gateway keeps to its own part of a limit.
 const CONTACT_VALIDITY: Duration = Duration::from_millis(500);
+/// Longest time until a permit that callers are told, in seconds: other gateways may have one earlier.
+const MAX_PERMIT_WAIT_S: f64 = 10.0;
 /// Time in which needs of permits lose most of their weight.
 const NEED_DECAY_TIME: Duration = Duration::from_millis(500);
 /// Weighted needs from which on permits are kept at hand: those of a request each quarter of a second.
@@ -279,6 +281,6 @@
         for id in ids {
             per_second += self.quotas.get(id)?.per_second()?;
         }
-        Some(1.0 / (per_second * self.share).max(f64::MIN_POSITIVE))
+        Some((1.0 / (per_second * self.share)).min(MAX_PERMIT_WAIT_S))
     }
 }
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -18,6 +18,7 @@
 use site::STATE_TIMEOUT;
 use site::Site;
 use site::crash::Upstream;
+use site::crash::crash_times;
 use site::exchange;
 use site::raw::document_with_plain_routes;
 
@@ -89,14 +90,6 @@
     calls.join_all().await
 }
 
-/// Times of all crashes, in order.
-fn crash_times(upstreams: &[Upstream]) -> Vec<Instant> {
-    let times = upstreams.iter().flat_map(|u| u.crashes.lock().unwrap().clone());
-    let mut times: Vec<Instant> = times.collect();
-    times.sort();
-    times
-}
-
 fn is_refused(call: &Call) -> bool {
     let answer = call.1.as_ref();
     answer.is_some_and(|a| {
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -516,3 +516,43 @@
         assert!(held <= 2, "{held} permits are under way at step {step}");
     }
 }
+
+#[test]
+fn a_caller_refused_for_a_limit_is_told_a_time_to_return_that_is_neither_zero_nor_long() {
+    for (per_second, share) in [(0.0, 1.0 / 64.0), (4.0, 0.0), (4.0, 0.25)] {
+        let mut balancer = Balancer::new("z", 1, Settings::default());
+        let limited = Target {
+            limit: Some(limit(per_second)),
+            ..target("t")
+        };
+        let table = Table {
+            targets: Some(vec![limited]),
+            share,
+            gateways: 4,
+            ..Table::default()
+        };
+        balancer.update(ms(0), &table);
+        let service = service();
+        let criteria = Criteria {
+            service: &service,
+            model: None,
+            tried: &[],
+            reserve: 0,
+            draw: 1,
+        };
+        let Choice::Full(until_room) = balancer.choose(ms(10), &criteria) else {
+            panic!("a request goes out without a permit");
+        };
+        assert!(
+            (ms(500)..=ms(10_000)).contains(&until_room),
+            "{per_second} a second: {until_room:?}"
+        );
+        balancer.grant(ms(20), "t");
+        assert!(matches!(balancer.choose(ms(20), &criteria), Choice::Send { .. }));
+        balancer.start_send(ms(20), "t", &service);
+        assert!(
+            matches!(balancer.choose(ms(21), &criteria), Choice::Full(_)),
+            "one permit is one request"
+        );
+    }
+}
--- a/tests/quarantine_gateway.rs
+++ b/tests/quarantine_gateway.rs
@@ -21,6 +21,7 @@
 use site::Site;
 use site::Vm;
 use site::crash::Upstream;
+use site::crash::crash_times;
 use site::exchange;
 use site::raw;
 use site::raw::Step;
@@ -169,14 +170,6 @@
     calls.join_all().await
 }
 
-/// Times of all crashes, in order.
-fn crash_times(upstreams: &[Upstream]) -> Vec<Instant> {
-    let times = upstreams.iter().flat_map(|u| u.crashes.lock().unwrap().clone());
-    let mut times: Vec<Instant> = times.collect();
-    times.sort();
-    times
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_prompt_part_that_crashes_upstreams_is_refused_after_a_few_crashes() {
     let (_site, gateways, upstreams) = site_with_crashing_upstreams(181).await;
--- a/tests/site/crash.rs
+++ b/tests/site/crash.rs
@@ -147,3 +147,11 @@
         }
     }
 }
+
+/// Times of all crashes, in order.
+pub fn crash_times(upstreams: &[Upstream]) -> Vec<Instant> {
+    let times = upstreams.iter().flat_map(|u| u.crashes.lock().unwrap().clone());
+    let mut times: Vec<Instant> = times.collect();
+    times.sort();
+    times
+}
