--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -556,3 +556,21 @@
         );
     }
 }
+
+/// Controllers of the version before decode what this version logs and sends, and the other way round.
+#[test]
+fn targets_and_reports_of_the_version_before_are_read_and_the_log_has_no_new_field() {
+    let logged = serde_json::to_value(target("t")).unwrap();
+    assert!(logged.get("limit").is_none(), "a new field in the replicated log");
+    let decoded: Target = serde_json::from_value(logged).unwrap();
+    assert_eq!(decoded, target("t"));
+    let mut report = serde_json::to_value(Report::default()).unwrap();
+    let fields = report.as_object_mut().unwrap();
+    assert!(fields.remove("limits").is_some() && fields.remove("asks").is_some());
+    let decoded: Report = serde_json::from_value(report).unwrap();
+    assert!(decoded.limits.is_empty() && decoded.asks.is_empty());
+    let mut overview = serde_json::to_value(Overview::default()).unwrap();
+    assert!(overview.as_object_mut().unwrap().remove("granted").is_some());
+    let decoded: Overview = serde_json::from_value(overview).unwrap();
+    assert!(decoded.granted.is_empty());
+}
--- a/tests/request_quarantine.rs
+++ b/tests/request_quarantine.rs
@@ -4,12 +4,16 @@
 
 use std::time::Duration;
 
+use heatherramp::domain::fleet::Command;
 use heatherramp::domain::quarantine::Attribution;
 use heatherramp::domain::quarantine::Crash;
 use heatherramp::domain::quarantine::Evidence;
 use heatherramp::domain::quarantine::Observations;
 use heatherramp::domain::quarantine::fingerprint;
 use heatherramp::domain::quarantine::is_fingerprint;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use incidents::crash;
 use incidents::crashes;
@@ -148,3 +152,60 @@
     assert_eq!(reported(&mut observations, 1_590), 2, "reported again");
     assert_eq!(reported(&mut observations, 7_000), 0, "too old");
 }
+
+/// Draws of ordinary crashes, with callers that repeat what has failed: a request is sent to up to two targets in
+/// an attempt, and its caller makes two attempts.
+fn ordinary_crashes(seed: u64, mean_ms: f64, targets: usize) -> (usize, Vec<String>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut attribution = Attribution::default();
+    let mut condemned = Vec::new();
+    // End of the run, time of sending, target, sends left, number.
+    let mut running: Vec<(u64, u64, usize, u32, u64)> = Vec::new();
+    let (mut number, mut crashed) = (0, 0);
+    for now in (0..120_000).step_by(10) {
+        let ended: Vec<_> = running.extract_if(.., |r| r.0 <= now).collect();
+        let marks: Vec<String> = ended.iter().map(|r| bystander(r.4)).collect();
+        let sound: Vec<&str> = marks.iter().map(String::as_str).collect();
+        if !sound.is_empty() {
+            attribution.record(ms(now), &incidents::sound(&sound));
+        }
+        if rng.random_bool(0.2) {
+            number += 1;
+            let end = now + rng.random_range(20..300);
+            running.push((end, now, rng.random_range(0..targets), 3, number));
+        }
+        if rng.random_bool(10.0 / mean_ms) {
+            crashed += 1;
+            let target = rng.random_range(0..targets);
+            let lost: Vec<_> = running.extract_if(.., |r| r.2 == target).collect();
+            let marks: Vec<(String, u64)> = lost.iter().map(|r| (bystander(r.4), r.1)).collect();
+            let requests: Vec<(&str, u64)> = marks.iter().map(|(m, sent)| (m.as_str(), *sent)).collect();
+            record(&mut attribution, now, &format!("t{crashed}"), &requests);
+            for (_, _, _, left, number) in lost.into_iter().filter(|r| r.3 > 0) {
+                let end = now + rng.random_range(20..300);
+                running.push((end, now, rng.random_range(0..targets), left - 1, number));
+            }
+        }
+        if now % 500 == 0 {
+            attribution.expire(ms(now));
+            condemned.extend(attribution.culprits(ms(now)));
+        }
+    }
+    (crashed, condemned)
+}
+
+#[test]
+fn ordinary_crashes_among_repeated_requests_condemn_none() {
+    for seed in 1..=5 {
+        let (crashes, condemned) = ordinary_crashes(seed, 900.0, 12);
+        assert!(crashes > 100, "{crashes} crashes only");
+        assert!(condemned.is_empty(), "seed {seed}: {condemned:?}");
+    }
+}
+
+#[test]
+fn the_quarantine_of_a_request_is_a_command_that_the_version_before_can_decode() {
+    let command = Command::Quarantine { part: bad() };
+    let json = serde_json::to_value(&command).unwrap();
+    assert_eq!(json, serde_json::json!({"Quarantine": {"part": bad()}}));
+}
