--- a/src/adapters/http1/client.rs
+++ b/src/adapters/http1/client.rs
@@ -33,11 +33,46 @@
 /// Idle connections kept for one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 8;
 
+/// Why no byte of a request went out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// The host has accepted no connection in time.
+    TimedOut,
+    /// The host refuses connections, so no process listens there.
+    Refused,
+    /// Connecting has failed in another way.
+    Unreachable,
+    /// The connection was closed before the request went out.
+    Closed,
+}
+
+impl Cause {
+    /// Name in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Cause::TimedOut => "timed out",
+            Cause::Refused => "refused",
+            Cause::Unreachable => "unreachable",
+            Cause::Closed => "closed",
+        }
+    }
+}
+
+impl From<&io::Error> for Cause {
+    fn from(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::TimedOut => Cause::TimedOut,
+            io::ErrorKind::ConnectionRefused => Cause::Refused,
+            _ => Cause::Unreachable,
+        }
+    }
+}
+
 /// Why a request has no response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Failure {
     /// No byte of the request went out, so it may be sent again.
-    Unsent,
+    Unsent(Cause),
     /// The request may have gone out; whether the upstream ran it is unknown.
     Unknown,
 }
@@ -98,7 +133,11 @@
             Ok(response) => Ok((response, connection)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
-                Err(if unsent { Failure::Unsent } else { Failure::Unknown })
+                Err(if unsent {
+                    Failure::Unsent(Cause::Closed)
+                } else {
+                    Failure::Unknown
+                })
             }
         }
     }
@@ -146,10 +185,12 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
-    let stream = open(address).await.map_err(|_| Failure::Unsent)?;
+    let stream = open(address)
+        .await
+        .map_err(|e| Failure::Unsent(Cause::from(&e)))?;
     set_tcp_options(&stream);
     let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, io) = handshake.map_err(|_| Failure::Unsent)?;
+    let (sender, io) = handshake.map_err(|_| Failure::Unsent(Cause::Closed))?;
     // An error of the connection is also returned by the request that uses it.
     let io_task = tokio::spawn(async move {
         let _ = io.await;
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -43,8 +43,10 @@
                 self.end_failed(send, Outcome::Stalled, "no answer in time");
                 Delivery::Unknown(None)
             }
-            Head::Failed(Failure::Unsent) => {
-                self.end_failed(send, Outcome::Failed, "no connection");
+            Head::Failed(Failure::Unsent(cause)) => {
+                let labels = [self.service.name.as_str(), cause.name()];
+                self.context.metrics.unconnected.with_label_values(&labels).inc();
+                self.end_failed(send, Outcome::Failed, &format!("no connection: {}", cause.name()));
                 Delivery::NotRun
             }
             Head::Failed(Failure::Unknown) => {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -21,6 +21,10 @@
     pub(super) refusals: IntCounterVec,
     /// Sends by service and outcome.
     pub(super) sends: IntCounterVec,
+    /// Sends without a connection by service and cause.
+    pub(super) unconnected: IntCounterVec,
+    /// Number of targets that the last report named as stalled.
+    pub(super) stalled_targets: IntGauge,
     /// Time from the request to its answer or first event, by service.
     pub(super) first_answer: HistogramVec,
     /// Time for which requests waited for room.
@@ -50,6 +54,12 @@
             requests: counters("requests_total", "Requests by outcome", &["service", "outcome"]),
             refusals: counters("refusals_total", "Refusals by reason", &["reason"]),
             sends: counters("sends_total", "Sends by how they ended", &["service", "outcome"]),
+            unconnected: counters(
+                "unconnected_sends_total",
+                "Sends without a connection by cause",
+                &["service", "cause"],
+            ),
+            stalled_targets: gauge("stalled_targets", "Targets that the last report named as stalled"),
             reports: counters("reports_total", "Reports to the leader by outcome", &["outcome"]),
             version: gauge("catalog_version", "Version of the catalog in force"),
             targets: gauge("targets", "Targets named by the leader"),
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -150,7 +150,7 @@
         let sending = self.context.upstreams.send(address, outgoing, true);
         let (response, connection) = match timeout(head_timeout, sending).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(Failure::Unsent)) => {
+            Ok(Err(Failure::Unsent(_))) => {
                 self.runs -= 1;
                 self.unexecuted += 1;
                 send.end(Outcome::Failed);
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -136,13 +136,15 @@
         .heartbeats()
         .take_renewals(now, controller, HEARTBEAT_RETENTION);
     let mut balancer = context.balancer();
+    let stalled = balancer.stalled(now);
+    context.metrics.stalled_targets.set(stalled.len() as i64);
     Report {
         gateway: identity.to_owned(),
         targets: state.targets.revision(),
         version: state.version,
         running: balancer.running(),
         served: balancer.served(now),
-        stalled: balancer.stalled(now),
+        stalled,
         demand: context.demand().averages(now).clone(),
         heartbeat_address: (!is_draining).then(|| heartbeat_address.to_owned()),
         renewed,
