--- a/src/adapters/http1/client.rs
+++ b/src/adapters/http1/client.rs
@@ -4,6 +4,7 @@
 //! the request went out, the caller gets [`Failure::Unsent`].
 
 use std::collections::HashMap;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
@@ -99,13 +101,74 @@
     since: Duration,
 }
 
+type Open = dyn Fn(SocketAddr) -> BoxFuture<'static, io::Result<TcpStream>> + Send + Sync;
+
+/// Opens TCP connections; another way than the network's may be set.
+#[derive(Clone)]
+pub struct Dialer {
+    open: Arc<Open>,
+}
+
+impl fmt::Debug for Dialer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Dialer").finish_non_exhaustive()
+    }
+}
+
+impl Default for Dialer {
+    fn default() -> Self {
+        Dialer::new(|address| Box::pin(TcpStream::connect(address)))
+    }
+}
+
+impl Dialer {
+    /// Dialer that opens each connection by `open`.
+    pub fn new<F>(open: F) -> Self
+    where
+        F: Fn(SocketAddr) -> BoxFuture<'static, io::Result<TcpStream>> + Send + Sync + 'static,
+    {
+        Dialer { open: Arc::new(open) }
+    }
+
+    /// Opens a connection to `address` within the time limit for connecting.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error of the connection; `TimedOut` after the time limit.
+    pub async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let stream = timeout(CONNECT_TIMEOUT, (self.open)(address)).await??;
+        set_tcp_options(&stream);
+        Ok(stream)
+    }
+
+    /// Whether the host at `address` refuses a new connection, so that no process listens there.
+    pub async fn is_refused(&self, address: SocketAddr) -> bool {
+        let refusal = self.open(address).await.err();
+        refusal.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Client of upstreams; clones share the idle connections.
 #[derive(Clone, Debug, Default)]
 pub struct Client {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    dialer: Dialer,
 }
 
 impl Client {
+    /// Client whose connections are opened by `dialer`.
+    pub fn new(dialer: Dialer) -> Self {
+        Client {
+            idle: Arc::default(),
+            dialer,
+        }
+    }
+
+    /// Dialer of this client's connections.
+    pub fn dialer(&self) -> &Dialer {
+        &self.dialer
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// The request goes out on an idle connection, or on a new one if there is none or if
@@ -127,7 +190,7 @@
         };
         let mut connection = match idle {
             Some(connection) => connection,
-            None => connect(address).await?,
+            None => self.connect(address).await?,
         };
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
@@ -168,36 +231,24 @@
         connections.retain(|i| is_usable(i, now));
         connections.pop().map(|i| i.connection)
     }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Failure> {
+        let opened = self.dialer.open(address).await;
+        let stream = opened.map_err(|e| Failure::Unsent(Cause::from(&e)))?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, io) = handshake.map_err(|_| Failure::Unsent(Cause::Closed))?;
+        // An error of the connection is also returned by the request that uses it.
+        let io_task = tokio::spawn(async move {
+            let _ = io.await;
+        });
+        Ok(Connection {
+            address,
+            sender,
+            io_task: io_task.abort_handle(),
+        })
+    }
 }
 
 fn is_usable(idle: &Idle, now: Duration) -> bool {
     !idle.connection.sender.is_closed() && now < idle.since + IDLE_TIMEOUT
 }
-
-/// Whether the host at `address` refuses a new connection, so that no process listens there.
-pub async fn refuses_connection(address: SocketAddr) -> bool {
-    let refusal = open(address).await.err();
-    refusal.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
-}
-
-async fn open(address: SocketAddr) -> io::Result<TcpStream> {
-    timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await?
-}
-
-async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
-    let stream = open(address)
-        .await
-        .map_err(|e| Failure::Unsent(Cause::from(&e)))?;
-    set_tcp_options(&stream);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, io) = handshake.map_err(|_| Failure::Unsent(Cause::Closed))?;
-    // An error of the connection is also returned by the request that uses it.
-    let io_task = tokio::spawn(async move {
-        let _ = io.await;
-    });
-    Ok(Connection {
-        address,
-        sender,
-        io_task: io_task.abort_handle(),
-    })
-}
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -74,11 +74,15 @@
 }
 
 impl Context {
-    pub(super) fn new(settings: &crate::settings::Gateway, controllers: Client) -> Self {
+    pub(super) fn new(
+        settings: &crate::settings::Gateway,
+        controllers: Client,
+        dialer: http1::Dialer,
+    ) -> Self {
         let revocation_time = Duration::from_millis(settings.revocation_ms);
         Context {
             settings: settings.dispatch.clone(),
-            upstreams: http1::Client::default(),
+            upstreams: http1::Client::new(dialer),
             controllers,
             metrics: Metrics::new(),
             room: Notify::new(),
--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -17,7 +17,6 @@
 use super::request::Request;
 use super::send::Send;
 use crate::adapters::clock;
-use crate::adapters::http1;
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Framing;
 use crate::domain::fleet::Target;
@@ -126,10 +125,11 @@
 }
 
 async fn check(context: Arc<Context>, target: Target, address: SocketAddr) {
-    let mut has_ended = http1::refuses_connection(address).await;
+    let dialer = context.upstreams.dialer();
+    let mut has_ended = dialer.is_refused(address).await;
     if !has_ended {
         tokio::time::sleep(RECHECK_DELAY).await;
-        has_ended = http1::refuses_connection(address).await;
+        has_ended = dialer.is_refused(address).await;
     }
     let key = (target.id, target.incarnation);
     let waiting = context.checks().remove(&key).unwrap_or_default();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,3 +22,4 @@
 pub use crate::daemon::Error;
 pub use run::Daemon;
 pub use run::run;
+pub use run::run_with_dialer;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -16,6 +16,7 @@
 use crate::adapters::clock;
 use crate::adapters::fleet::Client;
 use crate::adapters::http1;
+use crate::adapters::http1::Dialer;
 use crate::adapters::http1::Server;
 use crate::adapters::quic::Credentials;
 use crate::adapters::quic::Pool;
@@ -51,12 +52,22 @@
 ///
 /// `Keys` if the deployment keys cannot be used, `Listen` if an address cannot be opened.
 pub async fn run(settings: Gateway) -> Result<Daemon, Report<Error>> {
+    run_with_dialer(settings, Dialer::default()).await
+}
+
+/// Starts a gateway whose connections to upstreams are opened by `dialer`, on the current runtime.
+///
+/// # Errors
+///
+/// As for [`run`].
+pub async fn run_with_dialer(settings: Gateway, dialer: Dialer) -> Result<Daemon, Report<Error>> {
     let keys = Credentials::load(&settings.keys).change_context(Error::Keys)?;
     let pool = Pool::new(&keys).change_context(Error::Keys)?;
     let seeds = settings.peer_seeds();
     let context = Arc::new(Context::new(
         &settings,
         Client::new(pool, &seeds, &settings.availability_zone),
+        dialer,
     ));
     let shared = context.clone();
     let handler = move |request| caller::handle(shared.clone(), request);
--- /dev/null
+++ b/tests/partitions.rs
@@ -0,0 +1,90 @@
+//! Gateways that are partitioned from all upstreams, with simulated VMs.
+
+mod partition;
+mod site;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use partition::Cut;
+use partition::Links;
+use site::ACCOUNT_KEY;
+use site::Vm;
+use site::call;
+use site::events;
+use site::site_with_two_groups;
+
+/// Time after the begin of a cut from which it may not show.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Sends one request to a gateway; returns whether its first attempt is served completely.
+async fn is_served(gateway: SocketAddr, id: usize) -> bool {
+    let bearer = format!("Bearer {ACCOUNT_KEY}");
+    let attempt = format!("a{id}");
+    let headers = [
+        ("x-attempt-id", attempt.as_str()),
+        ("x-model", "model"),
+        ("x-deadline-ms", "4000"),
+        ("authorization", bearer.as_str()),
+    ];
+    // Every second request is one that may run once only, which gets a connection of its own.
+    if id.is_multiple_of(2) {
+        let answer = call(gateway, "POST", &format!("/orders/{id}"), "body bytes", &headers).await;
+        return answer.is_some_and(|(status, body)| status == 200 && body.as_ref() == b"echo body bytes");
+    }
+    let answer = call(gateway, "POST", &format!("/notes/{id}"), "body bytes", &headers).await;
+    answer.is_some_and(|(status, body)| status == 200 && events(&body) == (1..=10).collect::<Vec<u64>>())
+}
+
+/// Sends requests one by one, each after a pause; returns how many are served.
+async fn count_served(gateway: SocketAddr, ids: std::ops::Range<usize>) -> usize {
+    let mut served = 0;
+    for id in ids {
+        served += usize::from(is_served(gateway, id).await);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    served
+}
+
+async fn serve_behind(number: u8, links: Links) {
+    let (site, _vms) = site_with_two_groups(number).await;
+    let _desk = Vm::start("desk0", "desk", site.controllers.clone()).await;
+    let bearer = format!("Bearer {ACCOUNT_KEY}");
+    site.send_until("/orders/0", &[("authorization", bearer.as_str())], 200)
+        .await;
+    let cut = Cut::start(&site, "g2").await;
+    assert!(count_served(cut.address, 0..10).await >= 9, "not served before");
+    cut.set(links);
+    // Callers go on during the contact time.
+    let started = std::time::Instant::now();
+    let mut id = 100;
+    while started.elapsed() < CONTACT {
+        is_served(cut.address, id).await;
+        id += 1;
+    }
+    let served = count_served(cut.address, 1_000..1_050).await;
+    assert!(
+        served >= 49,
+        "{links:?}: {served} of 50 first attempts served at a gateway that reaches no upstream"
+    );
+    let others = count_served(site.gateway, 2_000..2_050).await;
+    assert!(
+        others >= 49,
+        "{links:?}: {others} of 50 served at another gateway"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_a_gateway_with_silent_links_are_served() {
+    serve_behind(181, Links::Silent).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_a_gateway_with_reset_links_are_served() {
+    serve_behind(182, Links::Reset).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_a_gateway_whose_new_connections_are_refused_are_served() {
+    serve_behind(183, Links::Refuse).await;
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -139,6 +139,10 @@
         gateway
     }
 
+    pub fn peer_port(&self) -> u16 {
+        self.peer_port
+    }
+
     fn spawn_gateway(&mut self, name: &str, listen: SocketAddr, status: SocketAddr) {
         let settings = json!({
             "name": name, "availability_zone": "z1", "listen": listen, "listen_status": status,
