gateways: reach targets through another gateway while the own link is down

Callers of a gateway that is partitioned from all upstreams were refused: it had no way to an upstream but its own connections, so each send failed after the 400 ms limit of a connection, or at once where links refuse.

Detours end per target: after 1.5 s both ways are tried at once and the first to connect is taken.

What such a gateway sees says nothing of targets: failures on a suspect link eject nothing and are not reported as stalls, and a crash counts as evidence only if another gateway finds the target refusing connections while another target accepts one.

--- a/src/adapters/http1/client.rs
+++ b/src/adapters/http1/client.rs
@@ -20,6 +20,8 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -86,6 +88,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// Task that reads and writes the socket.
     io_task: AbortHandle,
+    /// Whether further requests may use the connection.
+    is_reusable: bool,
 }
 
 impl Drop for Connection {
@@ -101,6 +105,19 @@
     since: Duration,
 }
 
+/// Byte stream to an upstream.
+pub enum Link {
+    /// Connection of this process.
+    Direct(TcpStream),
+    /// Connection that another process has opened; it is used for one request only.
+    Tunnel(Box<dyn Stream>),
+}
+
+/// Byte stream in both directions.
+pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> Stream for T {}
+
 type Open = dyn Fn(SocketAddr) -> BoxFuture<'static, io::Result<TcpStream>> + Send + Sync;
 
 /// Opens TCP connections; another way than the network's may be set.
@@ -182,6 +199,25 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         new_connection: bool,
+    ) -> Result<(Response<Incoming>, Connection), Failure> {
+        let open = async {
+            let opened = self.dialer.open(address).await;
+            opened.map(Link::Direct).map_err(|e| Cause::from(&e))
+        };
+        self.send_over(address, request, new_connection, open).await
+    }
+
+    /// Sends a request as [`Client::send`] does; a new connection is opened by `open`, which limits its time.
+    ///
+    /// # Errors
+    ///
+    /// `Unsent` or `Unknown`, by whether the request may have gone out.
+    pub async fn send_over(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        new_connection: bool,
+        open: impl Future<Output = Result<Link, Cause>>,
     ) -> Result<(Response<Incoming>, Connection), Failure> {
         let idle = if new_connection {
             None
@@ -190,7 +226,10 @@
         };
         let mut connection = match idle {
             Some(connection) => connection,
-            None => self.connect(address).await?,
+            None => match open.await.map_err(Failure::Unsent)? {
+                Link::Direct(stream) => start(address, stream, true).await?,
+                Link::Tunnel(stream) => start(address, stream, false).await?,
+            },
         };
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
@@ -209,7 +248,7 @@
     ///
     /// Closes it instead when the upstream has enough idle connections.
     pub fn return_connection(&self, connection: Connection) {
-        if connection.sender.is_closed() {
+        if !connection.is_reusable || connection.sender.is_closed() {
             return;
         }
         let now = clock::now();
@@ -224,6 +263,12 @@
         }
     }
 
+    /// Closes the idle connections to `address`.
+    pub fn close_idle(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().expect("no panic under this lock");
+        idle.remove(&address);
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.lock().expect("no panic under this lock");
@@ -231,22 +276,25 @@
         connections.retain(|i| is_usable(i, now));
         connections.pop().map(|i| i.connection)
     }
+}
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, Failure> {
-        let opened = self.dialer.open(address).await;
-        let stream = opened.map_err(|e| Failure::Unsent(Cause::from(&e)))?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, io) = handshake.map_err(|_| Failure::Unsent(Cause::Closed))?;
-        // An error of the connection is also returned by the request that uses it.
-        let io_task = tokio::spawn(async move {
-            let _ = io.await;
-        });
-        Ok(Connection {
-            address,
-            sender,
-            io_task: io_task.abort_handle(),
-        })
-    }
+/// Starts HTTP/1.1 on a byte stream to `address`.
+async fn start<T>(address: SocketAddr, stream: T, is_reusable: bool) -> Result<Connection, Failure>
+where
+    T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, io) = handshake.map_err(|_| Failure::Unsent(Cause::Closed))?;
+    // An error of the connection is also returned by the request that uses it.
+    let io_task = tokio::spawn(async move {
+        let _ = io.await;
+    });
+    Ok(Connection {
+        address,
+        sender,
+        io_task: io_task.abort_handle(),
+        is_reusable,
+    })
 }
 
 fn is_usable(idle: &Idle, now: Duration) -> bool {
--- a/src/adapters/http1/mod.rs
+++ b/src/adapters/http1/mod.rs
@@ -17,6 +17,8 @@
 pub use client::Connection;
 pub use client::Dialer;
 pub use client::Failure;
+pub use client::Link;
+pub use client::Stream;
 pub use collect::Incomplete;
 pub use collect::collect;
 pub use framing::Framing;
--- a/src/adapters/quic/pool.rs
+++ b/src/adapters/quic/pool.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use super::Credentials;
+use super::Duplex;
 use super::Error;
 use super::frame;
 use super::tls::SERVER_NAME;
@@ -105,6 +106,44 @@
         self.send(&connection, request).await
     }
 
+    /// Sends `request` and waits for its reply; the stream goes on in both directions.
+    ///
+    /// The reply must come within `reply_timeout` after the connection is open.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Pool::call`].
+    pub async fn open_duplex(
+        &self,
+        address: &str,
+        request: &wire::Request,
+        reply_timeout: Duration,
+    ) -> Result<(wire::Reply, Duplex), Report<Error>> {
+        let connection = self.connect(address).await?;
+        let exchange = async {
+            let streams = connection.open_bi().await;
+            let (mut send, mut receive) = streams.change_context(Error::Connect)?;
+            frame::write_frame(&mut send, request).await?;
+            let reply = frame::read_frame(&mut receive).await?;
+            let reply = reply.ok_or_else(|| Report::new(Error::Broken))?;
+            Ok((reply, send, receive))
+        };
+        match timeout(reply_timeout, exchange).await {
+            Ok(opened) => opened.map(|(reply, send, receive)| {
+                let duplex = Duplex {
+                    send,
+                    receive,
+                    connection,
+                };
+                (reply, duplex)
+            }),
+            Err(_) => {
+                self.discard(address, &connection).await;
+                Err(Report::new(Error::Timeout))
+            }
+        }
+    }
+
     /// Sends the requests of `queue` until all its senders are dropped.
     ///
     /// Requests may be lost, and their replies are ignored.
--- a/src/control/peer.rs
+++ b/src/control/peer.rs
@@ -52,7 +52,7 @@
                         .await,
                 )
             }
-            Some(Request::Forward(_) | Request::Fleet(_)) | None => {
+            Some(Request::Forward(_) | Request::Fleet(_) | Request::Tunnel(_)) | None => {
                 Reply::Error("not a request to a control process".to_owned())
             }
         }
--- a/src/domain/fleet/call.rs
+++ b/src/domain/fleet/call.rs
@@ -8,6 +8,7 @@
 use super::Announcement;
 use super::Controller;
 use super::Document;
+use super::Helper;
 use super::Overview;
 use crate::domain::catalog::Compressed;
 use crate::domain::limit::Ask;
@@ -45,6 +46,24 @@
     /// Crashes that this gateway has seen, and sound runs of the parts that the leader asked about.
     #[serde(default)]
     pub evidence: Evidence,
+    /// Availability zone and region of the gateway.
+    #[serde(default)]
+    pub place: Place,
+    /// Address at which the gateway opens connections to targets for others; none while it does not.
+    #[serde(default)]
+    pub helper_address: Option<String>,
+    /// Revision of the helpers that the gateway holds.
+    #[serde(default)]
+    pub helpers: u64,
+}
+
+/// Where a gateway is.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Place {
+    /// Availability zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
 }
 
 /// Heartbeat that a controller has received.
@@ -97,6 +116,12 @@
     /// Merged evidence of these gateways.
     #[serde(default)]
     pub evidence: Evidence,
+    /// Helpers among these gateways, if they have changed since the leader received them.
+    #[serde(default)]
+    pub own_helpers: Option<Vec<Helper>>,
+    /// Revision of the leader's list of helpers that the controller holds.
+    #[serde(default)]
+    pub helpers: u64,
 }
 
 /// Call to a controller. Only the leader carries calls out, and other controllers redirect to it;
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -8,6 +8,7 @@
 use super::Call;
 use super::Command;
 use super::Document;
+use super::Helpers;
 use super::Registry;
 use super::State;
 use super::Target;
@@ -84,6 +85,8 @@
     tickets_by_index: BTreeMap<u64, Vec<Ticket>>,
     /// Log indices of this leader's own proposals, without a caller, that are not applied yet.
     pub(super) own_proposals: VecDeque<u64>,
+    /// Helpers among the gateways of all controllers.
+    pub(super) helpers: Helpers,
     /// Digests of controllers that wait for an answer.
     pub(super) polls: Vec<Poll>,
     /// Whether the process is shutting down; a leader then transfers its leadership.
@@ -131,6 +134,7 @@
             quarantine: Quarantine::default(),
             tickets_by_index: BTreeMap::new(),
             own_proposals: VecDeque::new(),
+            helpers: Helpers::default(),
             polls: Vec::new(),
             shutting_down: false,
             applied_bytes: 0,
--- a/src/domain/fleet/digests.rs
+++ b/src/domain/fleet/digests.rs
@@ -9,6 +9,8 @@
 use super::Controller;
 use super::Digest;
 use super::Document;
+use super::Helper;
+use super::Helpers;
 use super::Overview;
 use super::core::Core;
 use super::event::Action;
@@ -35,6 +37,8 @@
 pub(super) struct Peer {
     digest: Digest,
     received_at: Duration,
+    /// Helpers among its gateways, as last received.
+    helpers: Vec<Helper>,
 }
 
 /// Digest that waits for a change before it is answered.
@@ -48,6 +52,8 @@
     version: u64,
     /// Value of [`Core::urgent_changes`] when the digest arrived.
     urgent_changes: usize,
+    /// Revision of the helpers that the controller holds.
+    helpers: u64,
     /// When it is answered without a change.
     deadline: Duration,
 }
@@ -70,15 +76,26 @@
             controller: digest.controller.address.clone(),
             targets: digest.targets,
             version: digest.version,
+            helpers: digest.helpers,
             urgent_changes: self.urgent_changes,
             deadline: now + self.digest_interval(),
         });
         let address = digest.controller.address.clone();
+        let new_helpers = digest.own_helpers.take();
+        let has_new_helpers = new_helpers.is_some();
+        let known_helpers = self
+            .peers
+            .get_mut(&address)
+            .map(|p| std::mem::take(&mut p.helpers));
         let peer = Peer {
             received_at: now,
             digest,
+            helpers: new_helpers.or(known_helpers).unwrap_or_default(),
         };
         let previous = self.peers.insert(address.clone(), peer);
+        if has_new_helpers {
+            self.merge_helpers();
+        }
         let previous_gateways = previous.map(|p| p.digest.gateways);
         if previous_gateways.as_ref() != Some(&self.peers[&address].digest.gateways) {
             self.count_gateways();
@@ -91,9 +108,14 @@
         self.peers.retain(|_, p| now < p.received_at + PEER_EXPIRY);
         if self.peers.len() < known {
             self.count_gateways();
+            self.merge_helpers();
         }
     }
 
+    fn merge_helpers(&mut self) {
+        self.helpers = Helpers::new(self.peers.values().flat_map(|p| p.helpers.iter().cloned()));
+    }
+
     /// Counts the gateways; one that has turned to another controller counts once.
     fn count_gateways(&mut self) {
         let gateways: BTreeSet<&String> = self.peers.values().flat_map(|p| &p.digest.gateways).collect();
@@ -176,6 +198,7 @@
             suspects: self.quarantine.asked(&self.state.quarantined),
             quarantined: self.state.quarantined.keys().cloned().collect(),
             granted: BTreeMap::new(),
+            helpers: (poll.helpers != self.helpers.revision).then(|| self.helpers.clone()),
         }
     }
 
--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -16,6 +16,8 @@
 use super::Controller;
 use super::Digest;
 use super::Heard;
+use super::Helper;
+use super::Helpers;
 use super::Overview;
 use super::Renewal;
 use super::Report;
@@ -120,6 +122,12 @@
     polls: Vec<Poll>,
     /// Permits for targets with a rate limit.
     pub(super) issuer: Issuer,
+    /// Helpers of all controllers, as of the leader's last list.
+    helpers: Helpers,
+    /// Helpers that the leader has received from this relay; none if it may have lost them.
+    received_helpers: Option<Vec<Helper>>,
+    /// Helpers in the digest that has no answer yet.
+    sent_helpers: Option<Vec<Helper>>,
     /// Heartbeats in the digest that has no answer yet: VM, incarnation and sequence.
     in_flight: Vec<(String, u64, u64)>,
 }
@@ -138,6 +146,9 @@
             targets: TargetLog::default(),
             urgent_changes: 0,
             polls: Vec::new(),
+            helpers: Helpers::default(),
+            received_helpers: None,
+            sent_helpers: None,
             in_flight: Vec::new(),
         }
     }
@@ -166,7 +177,12 @@
             }
             Input::Departure(id) => drop(self.vms.remove(&id)),
             Input::Overview(asked_at, overview) => self.receive_overview(now, asked_at, *overview),
-            Input::DigestLost => self.in_flight.clear(),
+            Input::DigestLost => {
+                self.in_flight.clear();
+                // The leader may have received them all the same, or be another one.
+                self.sent_helpers = None;
+                self.received_helpers = None;
+            }
         }
         self.answer_polls(now, &mut out);
         out
@@ -233,6 +249,10 @@
         }
         stalled.sort_unstable();
         stalled.dedup();
+        let own_helpers = self.own_helpers(now);
+        let own_helpers = (self.received_helpers.as_ref() != Some(&own_helpers)).then_some(own_helpers);
+        self.sent_helpers.clone_from(&own_helpers);
+        let fresh = || self.gateways.values().filter(move |g| is_fresh(g, now));
         let evidence = fresh().map(|g| (&g.report.evidence, now.saturating_sub(g.reported_at)));
         Digest {
             controller: self.controller.clone(),
@@ -247,9 +267,24 @@
             renewed,
             limits: self.unlisted_limits(now),
             evidence: Evidence::merged(evidence),
+            own_helpers,
+            helpers: self.helpers.revision,
         }
     }
 
+    /// Helpers among the gateways that report to this controller.
+    fn own_helpers(&self, now: Duration) -> Vec<Helper> {
+        let helper = |g: &Gateway| {
+            Some(Helper {
+                address: g.report.helper_address.clone()?,
+                zone: g.report.place.zone.clone(),
+                region: g.report.place.region.clone(),
+            })
+        };
+        let fresh = self.gateways.values().filter(|g| is_fresh(g, now));
+        fresh.filter_map(helper).collect()
+    }
+
     /// Longest wait of a report for a change.
     ///
     /// Gateways that have turned to another controller do not count.
@@ -350,6 +385,14 @@
             p.overview.revision.0 == overview.revision.0
                 && asked_at < p.asked_at + self.timing.vm_silence_limit()
         });
+        match self.sent_helpers.take() {
+            Some(sent) => self.received_helpers = Some(sent),
+            None if !is_same_leader => self.received_helpers = None,
+            None => {}
+        }
+        if let Some(helpers) = overview.helpers.take() {
+            self.helpers = helpers;
+        }
         if !is_same_leader {
             self.resend_recent_heartbeats(now);
         }
@@ -411,12 +454,23 @@
             if poll.version < held.overview.version {
                 overview.catalog.clone_from(&held.overview.catalog);
             }
+            overview.helpers = self.helpers_for(&poll.gateway);
             overview.granted = self.grant(now, &mut issuer, &poll.gateway, &held.overview);
             out.push((poll.ticket, Answer::Overview(Box::new(overview))));
         }
         self.issuer = issuer;
     }
 
+    /// Helpers for the gateway `identity`, unless it holds those of this revision.
+    fn helpers_for(&self, identity: &str) -> Option<Helpers> {
+        let report = &self.gateways.get(identity)?.report;
+        if report.helpers == self.helpers.revision {
+            return None;
+        }
+        let (place, own) = (&report.place, report.helper_address.as_deref());
+        Some(self.helpers.select(identity, &place.zone, &place.region, own))
+    }
+
     /// Overview for gateways, without what depends on the data that each of them holds.
     fn common_overview(&self, held: &Held) -> Overview {
         let mut running = self.running.clone();
--- a/src/domain/fleet/routing.rs
+++ b/src/domain/fleet/routing.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Helpers;
 use super::target_log::Update;
 use crate::domain::catalog::Compressed;
 use crate::domain::limit::Limit;
@@ -83,6 +84,10 @@
     /// Permits for targets with a rate limit, issued to the gateway that reported.
     #[serde(default)]
     pub granted: BTreeMap<String, u32>,
+    /// To a controller: all helpers. To a gateway: those that it may turn to. Left out when the receiver holds
+    /// this revision.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub helpers: Option<Helpers>,
 }
 
 /// Routing table of one gateway.
--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -47,6 +47,8 @@
     Failed,
     /// The answer did not come, or stopped, while the connection held.
     Stalled,
+    /// The link to the target is at fault, which is no evidence against the target.
+    Partitioned,
     /// The caller left or its deadline passed; this is no evidence against the target.
     Abandoned,
 }
@@ -298,6 +300,30 @@
         }
     }
 
+    /// Forgets failures and ejections of target `id`: the link to it was at fault.
+    pub fn clear_failures(&mut self, id: &str) {
+        if let Some(tracker) = self.trackers.get_mut(id) {
+            tracker.failures = 0;
+            tracker.ejections = 0;
+            tracker.ejected_until = Duration::ZERO;
+            tracker.has_failed = false;
+        }
+    }
+
+    /// Whether target `id` at `address` may get new requests.
+    pub fn is_listed(&self, id: &str, address: &str) -> bool {
+        self.trackers.get(id).is_some_and(|t| {
+            t.target.address == address && !t.closed && !self.zones_out.contains(&t.target.zone)
+        })
+    }
+
+    /// Address of another target than `id`, selected by the random number `draw`.
+    pub fn other_address(&self, id: &str, draw: u64) -> Option<&str> {
+        let others: Vec<&Tracker> = self.trackers.values().filter(|t| t.target.id != id).collect();
+        let index = draw % (others.len() as u64).max(1);
+        others.get(index as usize).map(|t| t.target.address.as_str())
+    }
+
     /// Records the end of a send and ejects the target if `outcome` calls for it.
     pub fn finish_send(&mut self, now: Duration, id: &str, outcome: Outcome) {
         let Some(tracker) = self.trackers.get_mut(id) else {
@@ -311,7 +337,7 @@
                 tracker.failures = 0;
                 tracker.ejections = 0;
             }
-            Outcome::Abandoned | Outcome::Refused => {}
+            Outcome::Abandoned | Outcome::Partitioned | Outcome::Refused => {}
             Outcome::Misdirected => self.eject(now, id),
             Outcome::Failed | Outcome::Stalled => {
                 tracker.failures += 1;
--- a/src/domain/gateway/mod.rs
+++ b/src/domain/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod demand;
 mod events;
 mod limits;
+mod reach;
 mod settings;
 mod tracker;
 
@@ -22,4 +23,7 @@
 pub use demand::group_time;
 pub use events::Event;
 pub use events::Splitter;
+pub use reach::Change;
+pub use reach::Reach;
+pub use reach::Way;
 pub use settings::Settings;
--- a/src/domain/gateway/settings.rs
+++ b/src/domain/gateway/settings.rs
@@ -34,6 +34,8 @@
     pub engine_fill: f64,
     /// Fraction of the latency objective for which a request may wait for room.
     pub wait_part: f64,
+    /// Connections to targets that this gateway keeps open for other gateways.
+    pub max_tunnels: u32,
     /// Largest answer that is collected whole, in bytes; one that goes on is broken off.
     pub max_answer_bytes: usize,
 }
@@ -55,6 +57,7 @@
             engine_fill: 1.0,
             // A caller that is refused early has time to retry before its deadline.
             wait_part: 0.12,
+            max_tunnels: 512,
             // Bounds the memory that requests to a faulty upstream take together.
             max_answer_bytes: 8 << 20,
         }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use tokio::time::timeout;
 
 use super::context::Context;
+use super::dial;
 use super::request::Request;
 use super::send::Send;
 use super::send::upstream_request;
@@ -44,10 +45,9 @@
     let needs_new_connection = request.route.repeat == Repeat::Once;
     let send = Send::start(context, target, service);
     Some(async move {
-        let sending = send
-            .context
-            .upstreams
-            .send(address, outgoing, needs_new_connection);
+        let opening = dial::open(&send, address);
+        let upstreams = &send.context.upstreams;
+        let sending = upstreams.send_over(address, outgoing, needs_new_connection, opening);
         let head = match timeout(time_left, sending).await {
             Ok(Ok((response, connection))) => Head::Arrived(response, connection),
             Ok(Err(failure)) => Head::Failed(failure),
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,9 +1,11 @@
 //! State that all requests of a gateway share.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -18,17 +20,21 @@
 use crate::adapters::clock;
 use crate::adapters::fleet::Client;
 use crate::adapters::http1;
+use crate::adapters::quic::Pool;
 use crate::domain::catalog::Catalog;
 use crate::domain::fleet::Announcement;
 use crate::domain::fleet::Handling;
 use crate::domain::fleet::Heartbeats;
 use crate::domain::gateway::Balancer;
 use crate::domain::gateway::Budget;
+use crate::domain::gateway::Change;
 use crate::domain::gateway::Demand;
+use crate::domain::gateway::Reach;
 use crate::domain::gateway::Settings;
 use crate::domain::quarantine::Evidence;
 use crate::domain::quarantine::Observations;
 use crate::domain::quarantine::is_fingerprint;
+use crate::logging;
 
 /// The catalog's lease ends this long before `revocation_ms`, the time after which a withdrawn key must
 /// not work anywhere, so that requests admitted last still reach their upstream in time.
@@ -48,6 +54,10 @@
     pub(super) settings: Settings,
     pub(super) upstreams: http1::Client,
     pub(super) controllers: Client,
+    /// Connections to other gateways.
+    pub(super) peers: Pool,
+    /// Number of tunnels that are open for other gateways.
+    pub(super) tunnels: AtomicUsize,
     pub(super) metrics: Metrics,
     /// Notified when a target may have room again.
     pub(super) room: Notify,
@@ -60,6 +70,8 @@
     observations: Mutex<Observations>,
     quarantine: RwLock<Quarantine>,
     checks: Mutex<Checks>,
+    reach: Mutex<Reach>,
+    helper_address: OnceLock<String>,
     catalog: Mutex<Option<Arc<Catalog>>>,
     /// Start of the catalog's lease: when the leader last confirmed its version, in milliseconds of the
     /// process's clock.
@@ -77,6 +89,7 @@
     pub(super) fn new(
         settings: &crate::settings::Gateway,
         controllers: Client,
+        peers: Pool,
         dialer: http1::Dialer,
     ) -> Self {
         let revocation_time = Duration::from_millis(settings.revocation_ms);
@@ -84,6 +97,8 @@
             settings: settings.dispatch.clone(),
             upstreams: http1::Client::new(dialer),
             controllers,
+            peers,
+            tunnels: AtomicUsize::new(0),
             metrics: Metrics::new(),
             room: Notify::new(),
             asking: AtomicUsize::new(0),
@@ -98,6 +113,8 @@
             observations: Mutex::default(),
             quarantine: RwLock::default(),
             checks: Mutex::default(),
+            reach: Mutex::default(),
+            helper_address: OnceLock::new(),
             catalog: Mutex::default(),
             lease_start_ms: AtomicU64::new(0),
             has_targets: AtomicBool::new(false),
@@ -183,6 +200,45 @@
         self.checks.lock().expect("no panic under this lock")
     }
 
+    pub(super) fn reach(&self) -> MutexGuard<'_, Reach> {
+        self.reach.lock().expect("no panic under this lock")
+    }
+
+    /// Brings the reach of targets up to date, and logs when this gateway is partitioned or restored.
+    pub(super) fn update_reach(&self) {
+        let mut reach = self.reach();
+        let change = reach.update(clock::now());
+        let detours = reach.detours();
+        drop(reach);
+        self.metrics.detour_targets.set(detours as i64);
+        let event = match change {
+            Some(Change::Partitioned) => logging::GATEWAY_PARTITIONED,
+            Some(Change::Restored) => logging::GATEWAY_RESTORED,
+            None => return,
+        };
+        self.metrics
+            .partitioned
+            .set(i64::from(change == Some(Change::Partitioned)));
+        event.log_fields(&[("targets", (detours as u64).into())]);
+    }
+
+    /// Address of another target than `id`, drawn at random.
+    pub(super) fn other_target(&self, id: &str) -> Option<SocketAddr> {
+        self.balancer().other_address(id, rand::random())?.parse().ok()
+    }
+
+    /// Address at which this gateway opens connections for others; none while it cannot.
+    pub(super) fn helper_address(&self) -> Option<String> {
+        let is_able = !self.is_draining() && !self.reach().is_partitioned(clock::now());
+        self.helper_address.get().filter(|_| is_able).cloned()
+    }
+
+    /// Sets the address at which this gateway opens connections for others.
+    pub(super) fn set_helper_address(&self, address: String) {
+        // Set once, at the start.
+        let _ = self.helper_address.set(address);
+    }
+
     pub(super) fn heartbeats(&self) -> MutexGuard<'_, Heartbeats> {
         self.heartbeats.lock().expect("no panic under this lock")
     }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -300,7 +300,10 @@
         let Some(target) = self.tried.last() else {
             return;
         };
-        self.context.balancer().record_silence(clock::now(), target);
+        let is_suspect = self.context.reach().is_link_suspect(clock::now(), target);
+        if !is_suspect {
+            self.context.balancer().record_silence(clock::now(), target);
+        }
         logging::SEND_FAILED.log_fields(&[
             ("request", self.request.id.as_str().into()),
             ("target", target.as_str().into()),
--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -13,6 +13,7 @@
 
 use super::answer;
 use super::context::Context;
+use super::dial;
 use super::dispatch::elapsed_ms;
 use super::request::Request;
 use super::send::Send;
@@ -125,11 +126,10 @@
 }
 
 async fn check(context: Arc<Context>, target: Target, address: SocketAddr) {
-    let dialer = context.upstreams.dialer();
-    let mut has_ended = dialer.is_refused(address).await;
+    let mut has_ended = has_ended(&context, &target, address).await;
     if !has_ended {
         tokio::time::sleep(RECHECK_DELAY).await;
-        has_ended = dialer.is_refused(address).await;
+        has_ended = self::has_ended(&context, &target, address).await;
     }
     let key = (target.id, target.incarnation);
     let waiting = context.checks().remove(&key).unwrap_or_default();
@@ -143,6 +143,28 @@
     }
 }
 
+/// Whether the process of a target has ended, so that its address refuses connections.
+///
+/// A link at fault may refuse them, too, so another gateway must find the same. Where there is none, another
+/// target must accept a connection of this one.
+async fn has_ended(context: &Context, target: &Target, address: SocketAddr) -> bool {
+    let is_suspect = context.reach().is_link_suspect(clock::now(), &target.id);
+    let dialer = context.upstreams.dialer();
+    if !is_suspect && !dialer.is_refused(address).await {
+        return false;
+    }
+    if context.balancer().gateways() == 1 {
+        return !is_suspect;
+    }
+    if let Some(has_ended) = dial::ask_whether_ended(context, target).await {
+        return has_ended;
+    }
+    let Some(other) = context.other_target(&target.id) else {
+        return false;
+    };
+    !is_suspect && dialer.open(other).await.is_ok()
+}
+
 /// Reason to send a request with this mark in quarantine no more.
 pub(super) fn reason(mark: &str) -> &'static str {
     match is_fingerprint(mark) {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -25,6 +25,16 @@
     pub(super) unconnected: IntCounterVec,
     /// Number of targets that the last report named as stalled.
     pub(super) stalled_targets: IntGauge,
+    /// Connections through a helper.
+    pub(super) detours: IntCounter,
+    /// Answers of helpers by status.
+    pub(super) helper_answers: IntCounterVec,
+    /// Number of targets that are or lately were reached through helpers.
+    pub(super) detour_targets: IntGauge,
+    /// Whether this gateway is partitioned from targets, 0 or 1.
+    pub(super) partitioned: IntGauge,
+    /// Number of tunnels that are open for other gateways.
+    pub(super) tunnels: IntGauge,
     /// Time from the request to its answer or first event, by service.
     pub(super) first_answer: HistogramVec,
     /// Time for which requests waited for room.
@@ -59,6 +69,18 @@
                 "Sends without a connection by cause",
                 &["service", "cause"],
             ),
+            detours: registry.counter("detours_total", "Connections through a helper"),
+            helper_answers: counters(
+                "helper_answers_total",
+                "Answers of helpers by status",
+                &["status"],
+            ),
+            detour_targets: gauge("detour_targets", "Targets reached through helpers"),
+            partitioned: gauge(
+                "partitioned",
+                "1 while this gateway is partitioned from targets, else 0",
+            ),
+            tunnels: gauge("tunnels", "Tunnels open for other gateways"),
             stalled_targets: gauge("stalled_targets", "Targets that the last report named as stalled"),
             reports: counters("reports_total", "Reports to the leader by outcome", &["outcome"]),
             version: gauge("catalog_version", "Version of the catalog in force"),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod context;
 mod delivery;
+mod dial;
 mod dispatch;
 mod evidence;
 mod heartbeat;
@@ -18,6 +19,7 @@
 mod stream;
 mod stream_run;
 mod sync;
+mod tunnel;
 
 pub use crate::daemon::Error;
 pub use run::Daemon;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -3,23 +3,28 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use error_stack::Report;
 use error_stack::ResultExt;
+use quinn::Endpoint;
 
 use super::Error;
 use super::caller;
 use super::context::Context;
 use super::status;
 use super::sync;
+use super::tunnel;
 use crate::adapters::clock;
 use crate::adapters::fleet::Client;
 use crate::adapters::http1;
 use crate::adapters::http1::Dialer;
 use crate::adapters::http1::Server;
+use crate::adapters::quic;
 use crate::adapters::quic::Credentials;
 use crate::adapters::quic::Pool;
+use crate::domain::fleet::Place;
 use crate::logging;
 use crate::settings::Gateway;
 
@@ -43,6 +48,8 @@
 pub struct Daemon {
     context: Arc<Context>,
     server: Server,
+    /// Endpoint for other gateways; it closes when it is dropped.
+    _peers: Endpoint,
     grace_period: Duration,
 }
 
@@ -66,7 +73,8 @@
     let seeds = settings.peer_seeds();
     let context = Arc::new(Context::new(
         &settings,
-        Client::new(pool, &seeds, &settings.availability_zone),
+        Client::new(pool.clone(), &seeds, &settings.availability_zone),
+        pool,
         dialer,
     ));
     let shared = context.clone();
@@ -83,11 +91,16 @@
             .await
             .change_context(Error::Listen)?;
     }
+    let peers = listen_for_peers(&context, &settings, &keys)?;
     // Known only if the variable, and not the option, names it; otherwise seeds are never reloaded.
     let settings_file = std::env::var_os("HEATHERRAMP_SETTINGS").map(PathBuf::from);
     let (shared, name) = (context.clone(), settings.name.clone());
+    let place = Place {
+        zone: settings.availability_zone.clone(),
+        region: settings.region.clone(),
+    };
     let heartbeat_address = settings.listen_status.to_string();
-    tokio::spawn(sync::run(shared, name, heartbeat_address, settings_file));
+    tokio::spawn(sync::run(shared, name, place, heartbeat_address, settings_file));
     logging::PROCESS_STARTED.log_fields(&[
         ("program", "gateway".into()),
         ("listen", settings.listen.to_string().as_str().into()),
@@ -96,10 +109,29 @@
     Ok(Daemon {
         context,
         server,
+        _peers: peers,
         grace_period: Duration::from_secs_f64(settings.grace_s),
     })
 }
 
+/// Listens for other gateways that ask for connections.
+fn listen_for_peers(
+    context: &Arc<Context>,
+    settings: &Gateway,
+    keys: &Credentials,
+) -> Result<Endpoint, Report<Error>> {
+    let address = SocketAddr::new(settings.listen.ip(), settings.tunnel_port);
+    let shared = context.clone();
+    let handler = move |request, stream| tunnel::handle(shared.clone(), request, stream);
+    let endpoint = quic::serve_duplex(address, keys, handler).change_context(Error::Listen)?;
+    let address = endpoint.local_addr().change_context(Error::Listen)?;
+    // Other VMs cannot call an address that stands for all of this one.
+    if !address.ip().is_unspecified() {
+        context.set_helper_address(address.to_string());
+    }
+    Ok(endpoint)
+}
+
 impl Daemon {
     /// Withdraws readiness and returns when the process may exit.
     ///
@@ -118,7 +150,9 @@
         loop {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
             let now = clock::now();
-            let is_drained = self.server.open_connections() == 0 && now > started + READINESS_DELAY;
+            let is_idle =
+                self.server.open_connections() == 0 && self.context.tunnels.load(Ordering::Relaxed) == 0;
+            let is_drained = is_idle && now > started + READINESS_DELAY;
             if is_drained || now >= exit_at {
                 break;
             }
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout;
 
 use super::context::Context;
+use super::dial;
 use super::dispatch::MAX_UNEXECUTED_SENDS;
 use super::evidence;
 use super::permit;
@@ -147,8 +148,10 @@
             HEAD_TIMEOUT.min(time_left)
         };
         let send = Send::start(&self.context, target, &self.service);
-        let sending = self.context.upstreams.send(address, outgoing, true);
-        let (response, connection) = match timeout(head_timeout, sending).await {
+        let opening = dial::open(&send, address);
+        let sending = self.context.upstreams.send_over(address, outgoing, true, opening);
+        let sent = timeout(head_timeout, sending).await;
+        let (response, connection) = match sent {
             Ok(Ok(answer)) => answer,
             Ok(Err(Failure::Unsent(_))) => {
                 self.runs -= 1;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,6 +1,7 @@
 //! One send of a request to a target.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use http_body_util::Full;
 
 use super::context::Context;
+use super::dial::Tunnel;
 use super::request::Request;
 use crate::adapters::clock;
 use crate::domain::catalog::Service;
@@ -22,6 +24,14 @@
 use crate::logging;
 use crate::platform::header as platform_header;
 
+/// Way of a send's connection to its target.
+pub(super) enum Path {
+    Direct,
+    Tunnel(Tunnel),
+    /// Neither this gateway nor a helper could connect.
+    None,
+}
+
 /// Guard of one send in progress at a target.
 ///
 /// The balancer counts the send until the guard is dropped, however the request ends.
@@ -30,6 +40,8 @@
     pub(super) target: Target,
     /// When the request was sent.
     pub(super) started: Duration,
+    /// Way of its connection; unset while there is none, and for an idle one that is used again.
+    path: OnceLock<Path>,
     /// Outcome to record on drop; `Abandoned` until [`Send::end`] sets another one.
     outcome: Outcome,
 }
@@ -43,10 +55,29 @@
             context: context.clone(),
             target,
             started,
+            path: OnceLock::new(),
             outcome: Outcome::Abandoned,
         }
     }
 
+    /// Records the way of the send's connection.
+    pub(super) fn set_path(&self, path: Path) {
+        // Set once: a send connects once.
+        let _ = self.path.set(path);
+    }
+
+    /// Whether a failure of this send says nothing of its target.
+    pub(super) fn is_link_suspect(&self) -> bool {
+        match self.path.get() {
+            Some(Path::None) => false,
+            Some(Path::Tunnel(tunnel)) => tunnel.is_lost(),
+            Some(Path::Direct) | None => {
+                let reach = self.context.reach();
+                reach.is_link_suspect(clock::now(), &self.target.id)
+            }
+        }
+    }
+
     /// Records what the target says of itself with an answer to a request.
     pub(super) fn record_notice<B>(&self, request: &Request, response: &Response<B>) {
         if let Some(limit) = limit(request, response) {
@@ -98,7 +129,14 @@
 
 impl Drop for Send {
     fn drop(&mut self) {
-        let outcome = self.outcome;
+        let mut outcome = self.outcome;
+        if matches!(outcome, Outcome::Failed | Outcome::Stalled) && self.is_link_suspect() {
+            outcome = Outcome::Partitioned;
+            if let Some(Path::Tunnel(tunnel)) = self.path.get() {
+                let helper = tunnel.helper;
+                self.context.reach().record_helper_failure(clock::now(), helper);
+            }
+        }
         let mut balancer = self.context.balancer();
         balancer.finish_send(clock::now(), &self.target.id, outcome);
         drop(balancer);
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -16,6 +16,7 @@
 use crate::domain::fleet::Answer;
 use crate::domain::fleet::Call;
 use crate::domain::fleet::Overview;
+use crate::domain::fleet::Place;
 use crate::domain::fleet::Report;
 use crate::domain::fleet::Table;
 use crate::domain::fleet::TargetLog;
@@ -45,6 +46,9 @@
     version: u64,
     /// Whether the leader answers, or the catalog's lease has not expired since it did.
     is_connected: bool,
+    place: Place,
+    /// Revision of the helpers.
+    helpers: u64,
     /// Failed reports since an overview was last applied.
     failures: u32,
 }
@@ -62,14 +66,19 @@
 pub(super) async fn run(
     context: Arc<Context>,
     name: String,
+    place: Place,
     heartbeat_address: String,
     settings_file: Option<PathBuf>,
 ) {
     // Controllers keep one report for each identity, so two processes must not share one, even if
     // their settings have the same name or one is a restart of the other.
     let identity = format!("{name}#{:08x}", rand::random::<u32>());
-    let mut state = State::default();
+    let mut state = State {
+        place,
+        ..State::default()
+    };
     loop {
+        context.update_reach();
         let sent_at = clock::now();
         let previous = context.controllers.relay();
         let report = build_report(&context, &identity, &heartbeat_address, &state);
@@ -136,7 +145,10 @@
         .heartbeats()
         .take_renewals(now, controller, HEARTBEAT_RETENTION);
     let mut balancer = context.balancer();
-    let stalled = balancer.stalled(now);
+    let mut stalled = balancer.stalled(now);
+    let reach = context.reach();
+    stalled.retain(|target| !reach.is_link_suspect(now, target));
+    drop(reach);
     context.metrics.stalled_targets.set(stalled.len() as i64);
     Report {
         gateway: identity.to_owned(),
@@ -151,6 +163,9 @@
         limits: balancer.limit_notices(now),
         asks: balancer.take_asks(now),
         evidence: context.evidence(now),
+        place: state.place.clone(),
+        helper_address: context.helper_address(),
+        helpers: state.helpers,
     }
 }
 
@@ -236,6 +251,11 @@
     let confirmed_at = sent.at.saturating_sub(Duration::from_millis(overview.age_ms));
     context.renew_lease(confirmed_at, has_new_targets);
     context.controllers.set_controllers(&overview.controllers);
+    if let Some(helpers) = overview.helpers {
+        state.helpers = helpers.revision;
+        let addresses = helpers.list.iter().filter_map(|h| h.address.parse().ok());
+        context.reach().set_helpers(addresses.collect());
+    }
     context.set_quarantine(&overview.suspects, &overview.quarantined);
     context.room.notify_waiters();
     state.failures = 0;
--- a/src/logging/catalogue.rs
+++ b/src/logging/catalogue.rs
@@ -243,6 +243,27 @@
     name: "target_limit",
     module: "gateway",
 };
+/// Another gateway connects to a target that this one does not reach on its own link.
+pub const DETOUR_TAKEN: Event = Event {
+    code: 414,
+    level: Level::Info,
+    name: "detour_taken",
+    module: "gateway",
+};
+/// This gateway does not reach several targets that other gateways reach.
+pub const GATEWAY_PARTITIONED: Event = Event {
+    code: 415,
+    level: Level::Warn,
+    name: "gateway_partitioned",
+    module: "gateway",
+};
+/// This gateway reaches its targets again.
+pub const GATEWAY_RESTORED: Event = Event {
+    code: 416,
+    level: Level::Info,
+    name: "gateway_restored",
+    module: "gateway",
+};
 /// This controller became the leader or lost the leadership.
 pub const FLEET_LEADERSHIP: Event = Event {
     code: 501,
@@ -371,6 +392,9 @@
     TARGET_NOTICE,
     STREAM_ABORTED,
     TARGET_LIMIT,
+    DETOUR_TAKEN,
+    GATEWAY_PARTITIONED,
+    GATEWAY_RESTORED,
     FLEET_LEADERSHIP,
     FLEET_COMMITTED,
     GROUP_OPENED,
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -28,6 +28,10 @@
     pub metrics_port: u16,
     /// Addresses of some controllers; their ports are ignored.
     pub seeds: Vec<SocketAddr>,
+    /// Region of this VM; only gateways of the same region open connections for this one.
+    pub region: String,
+    /// Port on which other gateways ask for connections, on the IP address of `listen`; 0 for any free port.
+    pub tunnel_port: u16,
     /// Port on which controllers accept the system's own processes.
     pub peer_port: u16,
     /// Files with the deployment keys.
@@ -49,6 +53,8 @@
             listen_status: SocketAddr::from(([127, 0, 0, 1], 8081)),
             metrics_port: 0,
             seeds: Vec::new(),
+            region: String::new(),
+            tunnel_port: 0,
             peer_port: 7400,
             keys: quic::Keys::default(),
             revocation_ms: 5_000,
