--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -303,13 +303,15 @@
     /// Forgets failures and ejections of target `id`: the link to it was at fault.
     pub fn clear_failures(&mut self, id: &str) {
         if let Some(tracker) = self.trackers.get_mut(id) {
-            tracker.failures = 0;
-            tracker.ejections = 0;
-            tracker.ejected_until = Duration::ZERO;
-            tracker.has_failed = false;
+            tracker.clear_failures();
         }
     }
 
+    /// Forgets failures and ejections of all targets.
+    pub fn clear_all_failures(&mut self) {
+        self.trackers.values_mut().for_each(Tracker::clear_failures);
+    }
+
     /// Whether target `id` at `address` may get new requests.
     pub fn is_listed(&self, id: &str, address: &str) -> bool {
         self.trackers.get(id).is_some_and(|t| {
--- a/src/domain/gateway/reach.rs
+++ b/src/domain/gateway/reach.rs
@@ -41,11 +41,20 @@
     Restored,
 }
 
+/// Detour to one target.
+#[derive(Clone, Copy, Debug)]
+struct Detour {
+    taken_at: Duration,
+    until: Duration,
+}
+
 /// Reach of targets as one gateway sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
-    /// Ends of detours, by target.
-    detours: BTreeMap<String, Duration>,
+    /// Latest detours, by target.
+    detours: BTreeMap<String, Detour>,
+    /// When a target with a detour was last reached directly.
+    returned_at: Option<Duration>,
     /// Helpers, in the order in which this gateway prefers them.
     helpers: Vec<SocketAddr>,
     /// Open tunnels, by helper.
@@ -59,8 +68,8 @@
     /// How to begin connecting to `target`.
     pub fn way(&self, now: Duration, target: &str) -> Way {
         match self.detours.get(target) {
-            Some(until) if now < *until => Way::Detour,
-            Some(until) if now < *until + DETOUR_MEMORY => Way::Both,
+            Some(detour) if now < detour.until && self.is_current(now, detour) => Way::Detour,
+            Some(detour) if now < detour.until + DETOUR_MEMORY => Way::Both,
             _ if self.is_partitioned(now) => Way::Both,
             _ => Way::Direct,
         }
@@ -68,17 +77,19 @@
 
     /// Whether the link to `target`, or those to several other targets, are at fault.
     pub fn is_link_suspect(&self, now: Duration, target: &str) -> bool {
-        let until = self.detours.get(target);
-        until.is_some_and(|until| now < *until + DETOUR_MEMORY) || self.is_partitioned(now)
+        let detour = self.detours.get(target);
+        detour.is_some_and(|d| self.is_current(now, d)) || self.is_partitioned(now)
     }
 
     /// Whether detours lead to several targets.
     pub fn is_partitioned(&self, now: Duration) -> bool {
-        let remembered = self
-            .detours
-            .values()
-            .filter(|until| now < **until + DETOUR_MEMORY);
-        remembered.count() >= PARTITIONED_TARGETS
+        let current = self.detours.values().filter(|d| self.is_current(now, d));
+        current.count() >= PARTITIONED_TARGETS
+    }
+
+    /// Whether a detour still shows that the links are at fault.
+    fn is_current(&self, now: Duration, detour: &Detour) -> bool {
+        now < detour.until + DETOUR_MEMORY && self.returned_at.is_none_or(|at| detour.taken_at > at)
     }
 
     /// Number of targets that are reached by detour.
@@ -87,21 +98,29 @@
     }
 
     /// Records that a direct connection to `target` was established.
-    pub fn record_direct(&mut self, target: &str) {
-        self.detours.remove(target);
+    ///
+    /// After a return from one detour the others show no fault any more; both ways are tried for their targets.
+    pub fn record_direct(&mut self, now: Duration, target: &str) {
+        if self.detours.remove(target).is_some() {
+            self.returned_at = Some(now);
+        }
     }
 
     /// Records that a helper has connected to `target` while a direct connection failed or took longer; returns
     /// whether that is new.
     pub fn record_detour(&mut self, now: Duration, target: &str) -> bool {
-        let known = self.detours.insert(target.to_owned(), now + DETOUR_TIME);
-        known.is_none_or(|until| now >= until + DETOUR_MEMORY)
+        let detour = Detour {
+            taken_at: now,
+            until: now + DETOUR_TIME,
+        };
+        let known = self.detours.insert(target.to_owned(), detour);
+        known.is_none_or(|known| !self.is_current(now, &known))
     }
 
     /// Forgets detours that ended long ago; returns whether the gateway has been partitioned or restored since
     /// the last call.
     pub fn update(&mut self, now: Duration) -> Option<Change> {
-        self.detours.retain(|_, until| now < *until + DETOUR_MEMORY);
+        self.detours.retain(|_, d| now < d.until + DETOUR_MEMORY);
         self.penalties.retain(|_, until| now < *until);
         let was_partitioned = self.is_partitioned;
         self.is_partitioned = self.is_partitioned(now);
--- a/src/domain/gateway/tracker.rs
+++ b/src/domain/gateway/tracker.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Forgets failures and ejections.
+    pub(super) fn clear_failures(&mut self) {
+        self.failures = 0;
+        self.ejections = 0;
+        self.ejected_until = Duration::ZERO;
+        self.has_failed = false;
+    }
+
     /// Whether no open stream of the target has sent an event for too long.
     pub(super) fn has_silent_streams(&self, now: Duration) -> bool {
         let last_activity = self.last_activity.unwrap_or(Duration::ZERO);
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -61,6 +61,8 @@
     pub(super) metrics: Metrics,
     /// Notified when a target may have room again.
     pub(super) room: Notify,
+    /// Notified when the links to targets become suspect.
+    pub(super) links_changed: Notify,
     /// Number of requests that ask for a permit.
     pub(super) asking: AtomicUsize,
     balancer: Mutex<Balancer>,
@@ -101,6 +103,7 @@
             tunnels: AtomicUsize::new(0),
             metrics: Metrics::new(),
             room: Notify::new(),
+            links_changed: Notify::new(),
             asking: AtomicUsize::new(0),
             balancer: Mutex::new(Balancer::new(
                 &settings.availability_zone,
@@ -212,7 +215,11 @@
         drop(reach);
         self.metrics.detour_targets.set(detours as i64);
         let event = match change {
-            Some(Change::Partitioned) => logging::GATEWAY_PARTITIONED,
+            Some(Change::Partitioned) => {
+                self.balancer().clear_all_failures();
+                self.links_changed.notify_waiters();
+                logging::GATEWAY_PARTITIONED
+            }
             Some(Change::Restored) => logging::GATEWAY_RESTORED,
             None => return,
         };
--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -31,10 +31,10 @@
 
 /// Time after which a direct connection that is not established is tried through a helper, too.
 const HELPER_DELAY: Duration = Duration::from_millis(100);
-/// Time after which a second helper is asked beside the first.
-const SECOND_HELPER_DELAY: Duration = Duration::from_millis(120);
+/// Time after which a further helper is asked beside those that have not answered.
+const NEXT_HELPER_DELAY: Duration = Duration::from_millis(120);
 /// Helpers that are asked for one connection.
-const MAX_HELPERS: usize = 2;
+const MAX_HELPERS: usize = 3;
 /// Time limit for a helper's answer; it connects in less.
 const HELPER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time limit for a connection, whichever way it is established.
@@ -83,7 +83,8 @@
             biased;
             opened = &mut direct, if uses_direct => match opened {
                 Ok(stream) => {
-                    context.reach().record_direct(&target.id);
+                    context.reach().record_direct(clock::now(), &target.id);
+                    context.update_reach();
                     send.set_path(Path::Direct);
                     return Ok(Link::Direct(stream));
                 }
@@ -132,6 +133,7 @@
         context.upstreams.close_idle(address);
     }
     context.balancer().clear_failures(id);
+    context.links_changed.notify_waiters();
     logging::DETOUR_TAKEN.log_fields(&[
         ("target", id.into()),
         ("helper", helper.to_string().as_str().into()),
@@ -149,7 +151,7 @@
         let answer = tokio::select! {
             biased;
             Some(answer) = asked.next() => Some(answer),
-            () = sleep(SECOND_HELPER_DELAY), if helpers.len() > 0 => None,
+            () = sleep(NEXT_HELPER_DELAY), if helpers.len() > 0 => None,
             else => return Err(last),
         };
         match answer {
@@ -207,7 +209,8 @@
     let status = answer.as_ref().map(|(status, _)| *status);
     let label = status.map_or("no answer", |s| status_name(s));
     context.metrics.helper_answers.with_label_values(&[label]).inc();
-    if matches!(status, None | Some(Status::Unknown | Status::Busy)) {
+    // A helper whose own link is at fault finds no target in reach, and may not know why yet.
+    if status != Some(Status::Open) {
         context.reach().record_helper_failure(clock::now(), helper);
     }
     answer
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -77,6 +77,10 @@
         }
     }
 
+    pub(super) fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
     /// Number of sends that a target may have executed.
     pub(super) fn runs(&self) -> u32 {
         self.runs
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -44,6 +44,9 @@
 /// before the first event, at least this.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
 
+/// Time without an event after which a run on a suspect link counts as silent.
+const SUSPECT_SILENCE_LIMIT: Duration = Duration::from_millis(200);
+
 /// Starts a task that relays a stream, and returns the answer for the caller.
 pub(super) fn start_relay(
     request: Arc<Request>,
@@ -126,13 +129,22 @@
 
     /// Waits until a run brings events, ends, or has been silent for too long.
     async fn receive(&self, run: &mut Run) -> Progress {
-        let silent_at = clock::now() + self.silence_limit();
+        let context = self.search.context().clone();
+        let started = clock::now();
         loop {
+            // Created before the check, so that a change during it is not missed.
+            let links_changed = context.links_changed.notified();
+            let silence_limit = match run.is_link_suspect() {
+                true => self.silence_limit().min(SUSPECT_SILENCE_LIMIT),
+                false => self.silence_limit(),
+            };
+            let silent_at = started + silence_limit;
             let now = clock::now();
             let time_left = self.request.deadline.saturating_sub(now);
             let max_pause = silent_at.saturating_sub(now).min(time_left);
             let frame = tokio::select! {
                 frame = timeout(max_pause, run.body.frame()) => frame,
+                () = links_changed => continue,
                 () = self.sender.closed() => return Progress::Ended(End::CallerLeft),
             };
             match frame {
--- a/src/gateway/stream_run.rs
+++ b/src/gateway/stream_run.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Whether the link to the target is at fault, so that no further event may come.
+    pub(super) fn is_link_suspect(&self) -> bool {
+        self.send.is_link_suspect()
+    }
+
     /// Identifier of the target.
     pub(super) fn target(&self) -> &str {
         &self.send.target.id
