gateways: a detour in use ends, too; one detour and silent links are suspect

A test of the way back failed: with a request to a target at least every 1.5 s its detour was prolonged by each of them, so the direct link was never tried again. Now only a failed direct try prolongs it. A gateway with one detour on which nothing has arrived directly since reports no stalls: in the first seconds of a cut a late answer on an idle connection did. A partition ends when its last detour does.

tests/detours.rs: streams go on through another gateway and when that one is killed; what may run once does; an upstream stops within half a second of its caller's leaving; no stall is reported, no prompt part is quarantined for refused connections; no detour after the return.

--- a/src/domain/gateway/reach.rs
+++ b/src/domain/gateway/reach.rs
@@ -2,8 +2,8 @@
 //!
 //! A gateway may lose its links to some or all targets while other gateways keep theirs. When a direct
 //! connection fails and a helper connects to the same target, the link is at fault, not the target. The gateway
-//! then takes the detour for a while, tries both ways at once when that time is over, and returns as soon as
-//! the direct way is the first to connect. Each target returns by itself, with a request that connects.
+//! then takes the detour for a while, tries both ways when that time is over, and returns as soon as the direct
+//! way is the first to connect. Each target returns by itself, with a request that connects.
 //!
 //! A gateway that takes detours to several targets is partitioned: what it sees of targets on its own links is
 //! no evidence against them, and it helps no other gateway.
@@ -26,8 +26,8 @@
 pub enum Way {
     /// Directly, and through a helper if that fails or takes long.
     Direct,
-    /// Directly and through a helper at the same time.
-    Both,
+    /// Directly, and through a helper almost at once.
+    Cautious,
     /// Through a helper, and directly if that fails.
     Detour,
 }
@@ -55,6 +55,8 @@
     detours: BTreeMap<String, Detour>,
     /// When a target with a detour was last reached directly.
     returned_at: Option<Duration>,
+    /// When anything last arrived on a direct link.
+    heard_at: Option<Duration>,
     /// Helpers, in the order in which this gateway prefers them.
     helpers: Vec<SocketAddr>,
     /// Open tunnels, by helper.
@@ -69,22 +71,38 @@
     pub fn way(&self, now: Duration, target: &str) -> Way {
         match self.detours.get(target) {
             Some(detour) if now < detour.until && self.is_current(now, detour) => Way::Detour,
-            Some(detour) if now < detour.until + DETOUR_MEMORY => Way::Both,
-            _ if self.is_partitioned(now) => Way::Both,
+            Some(detour) if now < detour.until + DETOUR_MEMORY => Way::Cautious,
+            _ if self.is_partitioned(now) => Way::Cautious,
             _ => Way::Direct,
         }
     }
 
-    /// Whether the link to `target`, or those to several other targets, are at fault.
+    /// Whether the link to `target` may be at fault: it is, those to several other targets are, or one is and
+    /// nothing has arrived on any direct link since.
     pub fn is_link_suspect(&self, now: Duration, target: &str) -> bool {
         let detour = self.detours.get(target);
-        detour.is_some_and(|d| self.is_current(now, d)) || self.is_partitioned(now)
+        if detour.is_some_and(|d| self.is_current(now, d)) || self.is_partitioned(now) {
+            return true;
+        }
+        let current = self.detours.values().filter(|d| self.is_current(now, d));
+        let taken_at = current.map(|d| d.taken_at).max();
+        taken_at.is_some_and(|at| self.heard_at.is_none_or(|heard| heard < at))
+    }
+
+    /// Records that something has arrived on a direct link.
+    pub fn record_heard(&mut self, now: Duration) {
+        self.heard_at = Some(now);
     }
 
-    /// Whether detours lead to several targets.
+    /// Whether detours lead to several targets, or have done so and one is left.
     pub fn is_partitioned(&self, now: Duration) -> bool {
+        let least = if self.is_partitioned {
+            1
+        } else {
+            PARTITIONED_TARGETS
+        };
         let current = self.detours.values().filter(|d| self.is_current(now, d));
-        current.count() >= PARTITIONED_TARGETS
+        current.count() >= least
     }
 
     /// Whether a detour still shows that the links are at fault.
@@ -101,6 +119,7 @@
     ///
     /// After a return from one detour the others show no fault any more; both ways are tried for their targets.
     pub fn record_direct(&mut self, now: Duration, target: &str) {
+        self.record_heard(now);
         if self.detours.remove(target).is_some() {
             self.returned_at = Some(now);
         }
@@ -109,12 +128,18 @@
     /// Records that a helper has connected to `target` while a direct connection failed or took longer; returns
     /// whether that is new.
     pub fn record_detour(&mut self, now: Duration, target: &str) -> bool {
+        let known = self.detours.get(target).filter(|d| self.is_current(now, d));
+        let is_new = known.is_none();
+        // A detour that is taken again without a direct try shows nothing new of the link.
+        if known.is_some_and(|d| now < d.until) {
+            return is_new;
+        }
         let detour = Detour {
             taken_at: now,
             until: now + DETOUR_TIME,
         };
-        let known = self.detours.insert(target.to_owned(), detour);
-        known.is_none_or(|known| !self.is_current(now, &known))
+        self.detours.insert(target.to_owned(), detour);
+        is_new
     }
 
     /// Forgets detours that ended long ago; returns whether the gateway has been partitioned or restored since
--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -31,6 +31,8 @@
 
 /// Time after which a direct connection that is not established is tried through a helper, too.
 const HELPER_DELAY: Duration = Duration::from_millis(100);
+/// The same while the link is suspect: a sound link connects before.
+const SUSPECT_HELPER_DELAY: Duration = Duration::from_millis(20);
 /// Time after which a further helper is asked beside those that have not answered.
 const NEXT_HELPER_DELAY: Duration = Duration::from_millis(120);
 /// Helpers that are asked for one connection.
@@ -72,13 +74,18 @@
     let way = context.reach().way(clock::now(), &target.id);
     let mut direct = pin!(context.upstreams.dialer().open(address));
     let mut detour = pin!(ask_helpers(context, target));
+    let helper_delay = match way {
+        Way::Direct => HELPER_DELAY,
+        Way::Cautious => SUSPECT_HELPER_DELAY,
+        Way::Detour => Duration::ZERO,
+    };
     let mut direct_failure = None;
     let mut detour_failure = None;
     let mut is_late = false;
     loop {
         let uses_direct = direct_failure.is_none() && (way != Way::Detour || detour_failure.is_some());
         let uses_detour =
-            detour_failure.is_none() && (way != Way::Direct || is_late || direct_failure.is_some());
+            detour_failure.is_none() && (way == Way::Detour || is_late || direct_failure.is_some());
         tokio::select! {
             biased;
             opened = &mut direct, if uses_direct => match opened {
@@ -97,7 +104,7 @@
                 }
                 Err(status) => detour_failure = Some(status),
             },
-            () = sleep(HELPER_DELAY), if uses_direct && !uses_detour && !is_late => is_late = true,
+            () = sleep(helper_delay), if uses_direct && !uses_detour && !is_late => is_late = true,
             else => break,
         }
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -66,6 +66,13 @@
         let _ = self.path.set(path);
     }
 
+    /// Records that something has arrived from the target, which also tells of the link.
+    pub(super) fn record_heard(&self) {
+        if !matches!(self.path.get(), Some(Path::Tunnel(_))) {
+            self.context.reach().record_heard(clock::now());
+        }
+    }
+
     /// Whether a failure of this send says nothing of its target.
     pub(super) fn is_link_suspect(&self) -> bool {
         match self.path.get() {
@@ -80,6 +87,7 @@
 
     /// Records what the target says of itself with an answer to a request.
     pub(super) fn record_notice<B>(&self, request: &Request, response: &Response<B>) {
+        self.record_heard();
         if let Some(limit) = limit(request, response) {
             self.record_limit(limit);
         }
--- a/src/gateway/stream_run.rs
+++ b/src/gateway/stream_run.rs
@@ -115,6 +115,7 @@
             let is_oversized = self.splitter.is_oversized();
             return is_oversized.then_some(Progress::Ended(End::Broken("event too large")));
         }
+        self.send.record_heard();
         let is_first = !self.is_streaming;
         self.is_streaming = true;
         let context = &self.send.context;
