--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -20,8 +20,11 @@
 use heatherramp::domain::fleet::Event;
 use heatherramp::domain::fleet::Handling;
 use heatherramp::domain::fleet::Heartbeats;
+use heatherramp::domain::fleet::Helper;
+use heatherramp::domain::fleet::Helpers;
 use heatherramp::domain::fleet::Input;
 use heatherramp::domain::fleet::Overview;
+use heatherramp::domain::fleet::Place;
 use heatherramp::domain::fleet::Registry;
 use heatherramp::domain::fleet::Relay;
 use heatherramp::domain::fleet::Renewal;
@@ -426,3 +429,119 @@
     let latest = answered_at.iter().max().unwrap() - 1_000;
     assert!(latest < REPORT_TIMEOUT_MS / 2 + 50, "answered after {latest} ms");
 }
+
+/// Report of a gateway that helps others at `helper_address`, if it does.
+fn helper_report(gateway: &str, helper_address: Option<&str>, helpers: u64) -> Box<Report> {
+    Box::new(Report {
+        place: Place {
+            zone: "z".to_owned(),
+            region: String::new(),
+        },
+        helper_address: helper_address.map(str::to_owned),
+        helpers,
+        ..*report(gateway, (0, 0), 0)
+    })
+}
+
+/// Overview of a leader in `term` with this list of helpers.
+fn overview_with(term: u64, helpers: Option<Helpers>) -> Box<Overview> {
+    Box::new(Overview {
+        helpers,
+        ..*overview(term, 1)
+    })
+}
+
+fn helper(address: &str) -> Helper {
+    Helper {
+        address: address.to_owned(),
+        zone: "z".to_owned(),
+        region: String::new(),
+    }
+}
+
+#[test]
+fn helpers_go_up_when_they_change_and_again_to_a_new_leader() {
+    let mut relay = relay("c1");
+    relay.step(
+        ms(0),
+        Input::Report(1, helper_report("g1", Some("10.0.0.1:1"), 0)),
+    );
+    assert_eq!(relay.digest(ms(10)).own_helpers, Some(vec![helper("10.0.0.1:1")]));
+    relay.step(ms(20), Input::Overview(ms(10), overview_with(1, None)));
+    assert_eq!(relay.digest(ms(30)).own_helpers, None, "the leader has them");
+    relay.step(ms(40), Input::Overview(ms(30), overview_with(2, None)));
+    assert_eq!(
+        relay.digest(ms(50)).own_helpers,
+        Some(vec![helper("10.0.0.1:1")]),
+        "a new leader"
+    );
+    relay.step(ms(60), Input::DigestLost);
+    assert_eq!(
+        relay.digest(ms(70)).own_helpers,
+        Some(vec![helper("10.0.0.1:1")]),
+        "a lost digest"
+    );
+    relay.step(ms(80), Input::Overview(ms(70), overview_with(2, None)));
+    // The gateway is partitioned now.
+    relay.step(ms(90), Input::Report(2, helper_report("g1", None, 0)));
+    assert_eq!(relay.digest(ms(100)).own_helpers, Some(Vec::new()));
+}
+
+#[test]
+fn a_silent_gateway_is_no_helper() {
+    let mut relay = relay("c1");
+    relay.step(
+        ms(0),
+        Input::Report(1, helper_report("g1", Some("10.0.0.1:1"), 0)),
+    );
+    relay.digest(ms(10));
+    relay.step(ms(20), Input::Overview(ms(10), overview_with(1, None)));
+    assert_eq!(relay.digest(ms(2_000)).own_helpers, Some(Vec::new()));
+}
+
+#[test]
+fn a_gateway_gets_other_helpers_when_the_list_has_changed() {
+    let mut relay = relay("c1");
+    let helpers = Helpers::new([helper("10.0.0.1:1"), helper("10.0.0.2:1")]);
+    relay.step(
+        ms(0),
+        Input::Overview(ms(0), overview_with(1, Some(helpers.clone()))),
+    );
+    let own = Some("10.0.0.1:1");
+    let answers = relay.step(ms(1), Input::Report(1, helper_report("g1", own, 0)));
+    let Some((_, Answer::Overview(answer))) = answers.into_iter().next() else {
+        panic!("no overview");
+    };
+    let named = answer.helpers.unwrap();
+    assert_eq!(named.revision, helpers.revision);
+    assert_eq!(named.list, [helper("10.0.0.2:1")]);
+    let answers = relay.step(
+        ms(200),
+        Input::Report(2, helper_report("g1", own, helpers.revision)),
+    );
+    let Some((_, Answer::Overview(answer))) = answers.into_iter().next() else {
+        panic!("no overview");
+    };
+    assert_eq!(answer.helpers, None);
+}
+
+#[test]
+fn messages_of_the_version_before_helpers_are_read() {
+    let without = |mut value: serde_json::Value, names: &[&str]| {
+        let fields = value.as_object_mut().unwrap();
+        names.iter().for_each(|name| drop(fields.remove(*name)));
+        value
+    };
+    let report = serde_json::to_value(Report::default()).unwrap();
+    let report = without(report, &["place", "helper_address", "helpers"]);
+    let report: Report = serde_json::from_value(report).unwrap();
+    assert_eq!((report.helper_address, report.helpers), (None, 0));
+    let digest = serde_json::to_value(Digest::default()).unwrap();
+    let digest = without(digest, &["own_helpers", "helpers"]);
+    let digest: Digest = serde_json::from_value(digest).unwrap();
+    assert_eq!((digest.own_helpers, digest.helpers), (None, 0));
+    let overview = serde_json::to_value(Overview::default()).unwrap();
+    assert!(!overview.as_object().unwrap().contains_key("helpers"));
+    let overview: Overview = serde_json::from_value(overview).unwrap();
+    assert_eq!(overview.helpers, None);
+}
