--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -136,6 +136,7 @@
     if !has_ended {
         return;
     }
+    context.metrics.crash_evidence.inc_by(waiting.len() as u64);
     let (id, incarnation) = key;
     let mut observations = context.observations();
     for lost in waiting {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -25,6 +25,8 @@
     pub(super) unconnected: IntCounterVec,
     /// Number of targets that the last report named as stalled.
     pub(super) stalled_targets: IntGauge,
+    /// Lost requests that count as evidence of a crash.
+    pub(super) crash_evidence: IntCounter,
     /// Connections through a helper.
     pub(super) detours: IntCounter,
     /// Answers of helpers by status.
@@ -69,6 +71,10 @@
                 "Sends without a connection by cause",
                 &["service", "cause"],
             ),
+            crash_evidence: registry.counter(
+                "crash_evidence_total",
+                "Lost requests that count as evidence of a crash",
+            ),
             detours: registry.counter("detours_total", "Connections through a helper"),
             helper_answers: counters(
                 "helper_answers_total",
--- a/tests/detours.rs
+++ b/tests/detours.rs
@@ -220,7 +220,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn refused_connections_of_a_partitioned_gateway_quarantine_no_prompt_part() {
+async fn refused_connections_of_a_partitioned_gateway_are_no_evidence_of_crashes() {
     let (site, vms) = site_with_two_groups(195).await;
     let cut = Cut::start(&site, "g2").await;
     let caller = Caller::new(cut.address);
@@ -255,8 +255,10 @@
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
     for status in [site.status, cut.status] {
-        let parts = metric(status, "heatherramp_gateway_quarantined").await;
-        assert_eq!(parts, 0.0, "marks in quarantine");
+        let evidence = metric(status, "heatherramp_gateway_crash_evidence_total ").await;
+        assert_eq!(evidence, 0.0, "crashes of upstreams that run");
+        let marks = metric(status, "heatherramp_gateway_quarantined").await;
+        assert_eq!(marks, 0.0, "marks in quarantine");
     }
     caller.settle().await;
 }
