--- a/src/domain/fleet/helper.rs
+++ b/src/domain/fleet/helper.rs
@@ -5,9 +5,15 @@
 //! that list, chosen by rendezvous hashing so that gateways which lose their links at the same time turn to
 //! different helpers.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::relay::Gateway;
+use super::relay::Relay;
+use super::relay::is_fresh;
+
 /// Helpers of one gateway in its own availability zone, and as many in others.
 const HELPERS_PER_SIDE: usize = 4;
 
@@ -71,3 +77,28 @@
         }
     }
 }
+
+impl Relay {
+    /// Helpers among the gateways that report to this controller.
+    pub(super) fn own_helpers(&self, now: Duration) -> Vec<Helper> {
+        let helper = |g: &Gateway| {
+            Some(Helper {
+                address: g.report.helper_address.clone()?,
+                zone: g.report.place.zone.clone(),
+                region: g.report.place.region.clone(),
+            })
+        };
+        let fresh = self.gateways.values().filter(|g| is_fresh(g, now));
+        fresh.filter_map(helper).collect()
+    }
+
+    /// Helpers for the gateway `identity`, unless it holds those of this revision.
+    pub(super) fn helpers_for(&self, identity: &str) -> Option<Helpers> {
+        let report = &self.gateways.get(identity)?.report;
+        if report.helpers == self.helpers.revision {
+            return None;
+        }
+        let (place, own) = (&report.place, report.helper_address.as_deref());
+        Some(self.helpers.select(identity, &place.zone, &place.region, own))
+    }
+}
--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -123,7 +123,7 @@
     /// Permits for targets with a rate limit.
     pub(super) issuer: Issuer,
     /// Helpers of all controllers, as of the leader's last list.
-    helpers: Helpers,
+    pub(super) helpers: Helpers,
     /// Helpers that the leader has received from this relay; none if it may have lost them.
     received_helpers: Option<Vec<Helper>>,
     /// Helpers in the digest that has no answer yet.
@@ -272,19 +272,6 @@
         }
     }
 
-    /// Helpers among the gateways that report to this controller.
-    fn own_helpers(&self, now: Duration) -> Vec<Helper> {
-        let helper = |g: &Gateway| {
-            Some(Helper {
-                address: g.report.helper_address.clone()?,
-                zone: g.report.place.zone.clone(),
-                region: g.report.place.region.clone(),
-            })
-        };
-        let fresh = self.gateways.values().filter(|g| is_fresh(g, now));
-        fresh.filter_map(helper).collect()
-    }
-
     /// Longest wait of a report for a change.
     ///
     /// Gateways that have turned to another controller do not count.
@@ -461,16 +448,6 @@
         self.issuer = issuer;
     }
 
-    /// Helpers for the gateway `identity`, unless it holds those of this revision.
-    fn helpers_for(&self, identity: &str) -> Option<Helpers> {
-        let report = &self.gateways.get(identity)?.report;
-        if report.helpers == self.helpers.revision {
-            return None;
-        }
-        let (place, own) = (&report.place, report.helper_address.as_deref());
-        Some(self.helpers.select(identity, &place.zone, &place.region, own))
-    }
-
     /// Overview for gateways, without what depends on the data that each of them holds.
     fn common_overview(&self, held: &Held) -> Overview {
         let mut running = self.running.clone();
--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -101,9 +101,9 @@
     seed: u64,
     settings: Settings,
     /// State of each target, by its identifier.
-    trackers: BTreeMap<String, Tracker>,
+    pub(super) trackers: BTreeMap<String, Tracker>,
     /// Availability zones that are out of service.
-    zones_out: Vec<String>,
+    pub(super) zones_out: Vec<String>,
     /// When the last table was applied.
     updated_at: Duration,
     /// Number of gateways that share limits, at least 1.
@@ -300,32 +300,6 @@
         }
     }
 
-    /// Forgets failures and ejections of target `id`: the link to it was at fault.
-    pub fn clear_failures(&mut self, id: &str) {
-        if let Some(tracker) = self.trackers.get_mut(id) {
-            tracker.clear_failures();
-        }
-    }
-
-    /// Forgets failures and ejections of all targets.
-    pub fn clear_all_failures(&mut self) {
-        self.trackers.values_mut().for_each(Tracker::clear_failures);
-    }
-
-    /// Whether target `id` at `address` may get new requests.
-    pub fn is_listed(&self, id: &str, address: &str) -> bool {
-        self.trackers.get(id).is_some_and(|t| {
-            t.target.address == address && !t.closed && !self.zones_out.contains(&t.target.zone)
-        })
-    }
-
-    /// Address of another target than `id`, selected by the random number `draw`.
-    pub fn other_address(&self, id: &str, draw: u64) -> Option<&str> {
-        let others: Vec<&Tracker> = self.trackers.values().filter(|t| t.target.id != id).collect();
-        let index = draw % (others.len() as u64).max(1);
-        others.get(index as usize).map(|t| t.target.address.as_str())
-    }
-
     /// Records the end of a send and ejects the target if `outcome` calls for it.
     pub fn finish_send(&mut self, now: Duration, id: &str, outcome: Outcome) {
         let Some(tracker) = self.trackers.get_mut(id) else {
--- a/src/domain/gateway/mod.rs
+++ b/src/domain/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod demand;
 mod events;
 mod limits;
+mod links;
 mod reach;
 mod settings;
 mod tracker;
