gateways: refuse at once while no target can be reached by any way

Cause: nothing remembered that neither way led to a target; only ejections did, and when all targets are ejected all are tried.

After two connections in a row have failed both ways, a target gets none for 200 ms and then one at a time. While that holds for all targets of a service and model, requests are refused at once as not run; streams wait up to 600 ms as before. An answer on an idle connection ends it, and so do 500 ms without a try.

--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -5,8 +5,8 @@
 //! availability zone when loads are nearly equal. A target is ejected when it fails several times in a
 //! row, stalls once, or answers 421 because it is not the upstream that the request was addressed to.
 //! The duration doubles with each ejection.
-//! When no target of a service is healthy, all of them are tried, except those that shut down or have
-//! asked for a pause.
+//! When no target of a service is healthy, all of them are tried, except those that shut down, have
+//! asked for a pause, or could not be reached a moment ago.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -89,6 +89,8 @@
     },
     /// No target has room or rate left; room is expected after this time.
     Full(Duration),
+    /// No target could be reached, by any way; the next connection is tried after this time.
+    Unreached(Duration),
     /// No target serves the service and model.
     NoTarget,
 }
@@ -205,6 +207,13 @@
         if candidates.is_empty() {
             return (Choice::NoTarget, Vec::new());
         }
+        let (candidates, unreached): (Vec<&Tracker>, Vec<&Tracker>) =
+            candidates.into_iter().partition(|t| t.may_connect(now));
+        if candidates.is_empty() {
+            let reconnect_at = unreached.iter().filter_map(|t| t.reconnect_at).min();
+            let delay = reconnect_at.unwrap_or(now).saturating_sub(now);
+            return (Choice::Unreached(delay), Vec::new());
+        }
         let healthy: Vec<&Tracker> = candidates.iter().copied().filter(|t| t.is_healthy(now)).collect();
         // When none is healthy, any of them may have recovered.
         let pool = if healthy.is_empty() { &candidates } else { &healthy };
@@ -269,6 +278,7 @@
         if let Some(tracker) = self.trackers.get_mut(id) {
             tracker.running += 1;
             tracker.next_allowed = now + interval;
+            tracker.start_connecting(now);
         }
         self.quotas.spend(now, id);
     }
@@ -278,6 +288,7 @@
         if let Some(tracker) = self.trackers.get_mut(id) {
             tracker.last_activity = Some(now);
             tracker.has_failed = false;
+            tracker.record_reached();
             tracker.open_streams += u32::from(is_first);
         }
     }
@@ -310,6 +321,7 @@
             Outcome::Answered => {
                 tracker.last_activity = Some(now);
                 tracker.has_failed = false;
+                tracker.record_reached();
                 tracker.failures = 0;
                 tracker.ejections = 0;
             }
--- a/src/domain/gateway/mod.rs
+++ b/src/domain/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub use demand::group_time;
 pub use events::Event;
 pub use events::Splitter;
+pub use links::DIAL_TIME;
 pub use reach::Change;
 pub use reach::Reach;
 pub use reach::Way;
--- a/src/domain/gateway/tracker.rs
+++ b/src/domain/gateway/tracker.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
+use super::links::DIAL_TIME;
 use crate::domain::fleet::Target;
 
 /// Time without an event on any open stream of a target after which it gets no new requests. In that
 /// time even a full engine makes several passes over its batch.
 const STREAM_SILENCE_LIMIT: Duration = Duration::from_millis(350);
+/// Time after a failed connection in which no other one is tried to the same target.
+const RECONNECT_DELAY: Duration = Duration::from_millis(200);
+/// Time after which failed connections to a target that nobody has tried since say nothing any more.
+const RECONNECT_MEMORY: Duration = Duration::from_millis(500);
 
 /// Load, health and pacing of one target.
 #[derive(Clone, Debug)]
@@ -35,6 +40,10 @@
     pub(super) appeared_at: Option<Duration>,
     /// Earliest time of the next request that the rate limit allows.
     pub(super) next_allowed: Duration,
+    /// When a connection failed first since the target was last reached.
+    pub(super) unreached_at: Option<Duration>,
+    /// Earliest time of the next connection, after two in a row have failed; unset once the target is reached.
+    pub(super) reconnect_at: Option<Duration>,
 }
 
 impl Tracker {
@@ -53,6 +62,8 @@
             is_reported_stalled: false,
             appeared_at: None,
             next_allowed: Duration::ZERO,
+            unreached_at: None,
+            reconnect_at: None,
         }
     }
 
@@ -64,6 +75,39 @@
         self.has_failed = false;
     }
 
+    /// Whether a connection to the target may be tried.
+    pub(super) fn may_connect(&self, now: Duration) -> bool {
+        self.reconnect_at.is_none_or(|at| at <= now)
+    }
+
+    /// Records that a connection that was begun at `begun` could be established neither directly nor through a
+    /// helper.
+    ///
+    /// The first failure may be that of a helper which does not know yet that its own links are at fault.
+    pub(super) fn record_unreached(&mut self, now: Duration, begun: Duration) {
+        match self.unreached_at {
+            Some(at) if at <= begun => self.reconnect_at = Some(now + RECONNECT_DELAY),
+            Some(_) => {}
+            None => self.unreached_at = Some(now),
+        }
+    }
+
+    /// Records a connection, or something that has arrived on one.
+    pub(super) fn record_reached(&mut self) {
+        self.unreached_at = None;
+        self.reconnect_at = None;
+    }
+
+    /// Lets a single request find out whether a target that was not reached can be.
+    ///
+    /// Failures long ago say nothing any more, and do not keep other requests back.
+    pub(super) fn start_connecting(&mut self, now: Duration) {
+        if self.reconnect_at.is_some_and(|at| at + RECONNECT_MEMORY <= now) {
+            self.record_reached();
+        }
+        self.reconnect_at = self.reconnect_at.map(|_| now + DIAL_TIME);
+    }
+
     /// Whether no open stream of the target has sent an event for too long.
     pub(super) fn has_silent_streams(&self, now: Duration) -> bool {
         let last_activity = self.last_activity.unwrap_or(Duration::ZERO);
--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -26,6 +26,7 @@
 use crate::adapters::wire::request;
 use crate::adapters::wire::tunneled::Status;
 use crate::domain::fleet::Target;
+use crate::domain::gateway::DIAL_TIME;
 use crate::domain::gateway::Way;
 use crate::logging;
 
@@ -39,8 +40,6 @@
 const MAX_HELPERS: usize = 3;
 /// Time limit for a helper's answer; it connects in less.
 const HELPER_TIMEOUT: Duration = Duration::from_millis(350);
-/// Time limit for a connection, whichever way it is established.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Open tunnel through a helper; it counts until it is dropped.
 pub(super) struct Tunnel {
@@ -62,11 +61,18 @@
     }
 }
 
-/// Opens a connection to the target of `send` at `address`, and records the way that it takes.
+/// Opens a connection to the target of `send` at `address`, and records the way that it takes, if any.
 pub(super) async fn open(send: &Send, address: SocketAddr) -> Result<Link, Cause> {
-    timeout(DIAL_TIMEOUT, open_either_way(send, address))
+    let begun = clock::now();
+    let opened = timeout(DIAL_TIME, open_either_way(send, address))
         .await
-        .unwrap_or(Err(Cause::TimedOut))
+        .unwrap_or(Err(Cause::TimedOut));
+    let (mut balancer, id) = (send.context.balancer(), send.target.id.as_str());
+    match opened {
+        Ok(_) => balancer.record_reached(id),
+        Err(_) => balancer.record_unreached(clock::now(), begun, id),
+    }
+    opened
 }
 
 async fn open_either_way(send: &Send, address: SocketAddr) -> Result<Link, Cause> {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -195,6 +195,7 @@
                     self.log_request_sent(&target, load, waited);
                     return Ok(target);
                 }
+                Choice::Unreached(delay) => return Err(("no target can be reached", delay)),
                 Choice::NoTarget => return Err(("no target serves this", Duration::from_millis(500))),
                 Choice::Full(until_room) if waited >= max_wait => {
                     return Err(("all targets are full", until_room));
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -235,6 +235,8 @@
                     // Whether room was signalled or the time is up, the targets are checked again.
                     let _ = timeout(wait_end - now, room_signal).await;
                 }
+                Choice::Unreached(delay) if now + delay < wait_end => tokio::time::sleep(delay).await,
+                Choice::Unreached(_) => return Err("no target can be reached"),
                 Choice::Full(_) | Choice::NoTarget => return Err("no target with room"),
             }
         }
--- a/tests/detours.rs
+++ b/tests/detours.rs
@@ -289,12 +289,7 @@
     });
     let kill = async {
         tokio::time::sleep(Duration::from_millis(600)).await;
-        let (_, child) = site
-            .processes
-            .iter_mut()
-            .find(|(name, _)| name == "gateway-g1")
-            .unwrap();
-        child.kill().unwrap();
+        site.kill("gateway-g1");
     };
     let (answers, ()) = tokio::join!(futures_util::future::join_all(streams), kill);
     let whole = (1..=10).collect::<Vec<u64>>();
--- a/tests/partitions.rs
+++ b/tests/partitions.rs
@@ -5,10 +5,12 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use partition::Cut;
 use partition::Links;
 use site::ACCOUNT_KEY;
+use site::STATE_TIMEOUT;
 use site::Vm;
 use site::call;
 use site::events;
@@ -56,7 +58,7 @@
     assert!(count_served(cut.address, 0..10).await >= 9, "not served before");
     cut.set(links);
     // Callers go on during the contact time.
-    let started = std::time::Instant::now();
+    let started = Instant::now();
     let mut id = 100;
     while started.elapsed() < CONTACT {
         is_served(cut.address, id).await;
@@ -88,3 +90,55 @@
 async fn callers_of_a_gateway_whose_new_connections_are_refused_are_served() {
     serve_behind(183, Links::Refuse).await;
 }
+
+/// Time within which a refusal is immediate.
+const AT_ONCE: Duration = Duration::from_millis(100);
+
+/// Sends 150 requests, one each 20 ms; returns the status and duration of each.
+async fn call_steadily(gateway: SocketAddr) -> Vec<(Option<u16>, Duration)> {
+    let bearer = format!("Bearer {ACCOUNT_KEY}");
+    let calls = (0..150).map(|id: u64| {
+        let bearer = &bearer;
+        async move {
+            tokio::time::sleep(Duration::from_millis(20 * id)).await;
+            let headers = [
+                ("x-attempt-id", "a1"),
+                ("x-model", "model"),
+                ("x-deadline-ms", "4000"),
+                ("authorization", bearer.as_str()),
+            ];
+            let started = Instant::now();
+            let answer = call(gateway, "POST", "/notes/1", "body bytes", &headers).await;
+            (answer.map(|(status, _)| status), started.elapsed())
+        }
+    });
+    futures_util::future::join_all(calls).await
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_a_gateway_that_reaches_no_upstream_by_any_way_are_refused_at_once() {
+    let (mut site, vms) = site_with_two_groups(184).await;
+    let cut = Cut::start(&site, "g2").await;
+    let started = Instant::now();
+    while !is_served(cut.address, 1).await {
+        assert!(started.elapsed() < STATE_TIMEOUT, "not served before");
+    }
+    site.kill("gateway-g1");
+    for links in [Links::Silent, Links::Reset] {
+        cut.set(links);
+        // Callers go on during the contact time.
+        call_steadily(cut.address).await;
+        let count_runs = || -> usize { vms.iter().map(|vm| vm.state.lock().unwrap().requests.len()).sum() };
+        let runs = count_runs();
+        let answers = call_steadily(cut.address).await;
+        assert_eq!(count_runs(), runs, "a request ran");
+        assert!(answers.iter().all(|(status, _)| *status == Some(503)));
+        let at_once = answers.iter().filter(|(_, took)| *took < AT_ONCE).count();
+        assert!(at_once >= 135, "{links:?}: {at_once} of 150 refused at once");
+        cut.set(Links::Open);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let served = (0..10).map(|n| is_served(cut.address, 2 * n + 1));
+        let served = futures_util::future::join_all(served).await;
+        assert!(served.iter().all(|s| *s), "{links:?}: not served afterwards");
+    }
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -181,6 +181,13 @@
         self.processes.push((name.to_owned(), child));
     }
 
+    /// Kills the process that was started as `name`.
+    pub fn kill(&mut self, name: &str) {
+        let mut processes = self.processes.iter_mut();
+        let (_, child) = processes.find(|(n, _)| n == name).unwrap();
+        child.kill().unwrap();
+    }
+
     /// Calls the controllers in turn until one answers without a server error.
     pub async fn call_controllers(&self, method: &str, path: &str, body: &str) -> Option<(u16, Bytes)> {
         let started = Instant::now();
