balancer: spread the first requests to the targets of a returning zone

At the end of an evacuation the targets of a zone got more requests in one second than cold ones bear (FAILBACK, 27 to 29, 26 allowed, with 75 gateways). Cause: while the zone was out no gateway used its part of their rate, so each held one unused permission, and all gateways learn of the return together. Targets had spread first requests only when they were listed or became cold, and those of an evacuated zone become cold before it returns, when a part of that time is over. Now the return starts it, too.

Ruled out: connections by detour.

The test counted 64 in a second before (44 allowed). An idle target that falls cold without a return is still overrun by many gateways: the entry and its test stay.

--- a/src/domain/gateway/balance.rs
+++ b/src/domain/gateway/balance.rs
@@ -150,6 +150,7 @@
         }
         self.leaving.retain(|_, at| now < *at + LEAVING_RETENTION);
         self.paused_until.retain(|_, until| now < *until);
+        self.return_zones(now, &table.zones_out);
         self.zones_out.clone_from(&table.zones_out);
         self.updated_at = now;
         self.gateways = table.gateways.max(1);
@@ -163,6 +164,19 @@
         }
     }
 
+    /// Spreads the first requests to targets whose availability zone is not in `zones_out` any more.
+    ///
+    /// No gateway has used its part of their rate meanwhile, and all of them learn of the return together.
+    fn return_zones(&mut self, now: Duration, zones_out: &[String]) {
+        let previous = &self.zones_out;
+        let has_returned = |zone: &String| previous.contains(zone) && !zones_out.contains(zone);
+        for tracker in self.trackers.values_mut() {
+            if has_returned(&tracker.target.zone) {
+                tracker.appeared_at = Some(now);
+            }
+        }
+    }
+
     fn replace_targets(&mut self, now: Duration, targets: &[Target]) {
         let mut previous = std::mem::take(&mut self.trackers);
         for target in targets {
--- a/src/domain/gateway/tracker.rs
+++ b/src/domain/gateway/tracker.rs
@@ -36,7 +36,7 @@
     pub(super) open_streams: u32,
     /// Whether some gateway has reported the target as stalled and none has seen it answer since.
     pub(super) is_reported_stalled: bool,
-    /// When the target was first listed, or last went from warm to cold.
+    /// When the target was first listed, last went from warm to cold, or its availability zone last returned.
     pub(super) appeared_at: Option<Duration>,
     /// Earliest time of the next request that the rate limit allows.
     pub(super) next_allowed: Duration,
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -200,6 +200,43 @@
 
 /// A target that all 64 gateways of a large deployment know, and have not used for a while, restarts
 /// cold without announcing it. Each gateway then has a request for it within the same second.
+#[test]
+fn targets_of_a_returning_zone_are_not_overrun_by_many_gateways() {
+    let service = service(26.0);
+    let mut table = table(vec![Target {
+        slots: 1_000,
+        ..target("a", "z1")
+    }]);
+    table.gateways = 64;
+    table.share = 1.0 / 64.0;
+    let mut sent = 0;
+    for gateway in 0..64u64 {
+        let mut balancer = Balancer::new("z1", gateway, Settings::default());
+        balancer.update(ms(0), &table);
+        table.zones_out = vec!["z1".to_owned()];
+        balancer.update(ms(10_000), &table);
+        assert_eq!(
+            balancer.choose(ms(10_001), &criteria(&service, &[])),
+            Choice::NoTarget
+        );
+        table.zones_out.clear();
+        balancer.update(ms(20_000), &table);
+        // Each gateway sends as often as it may.
+        for now in (20_000..21_000).step_by(10).map(ms) {
+            if let Choice::Send { target, .. } = balancer.choose(now, &criteria(&service, &[])) {
+                balancer.start_send(now, &target.id, &service);
+                sent += 1;
+            }
+        }
+    }
+    // A cold target serves up to 1.5 times its rate of 26 per second, plus 5.
+    assert!(sent <= 44, "{sent} requests in a second");
+    assert!(
+        sent >= 13,
+        "{sent} requests in a second: half of its rate is not used"
+    );
+}
+
 #[test]
 fn a_known_target_that_falls_cold_is_not_overrun_by_many_gateways() {
     let service = service(26.0);
