--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -198,8 +198,7 @@
     assert_eq!(chosen_id(balancer.choose(ms(900), &criteria(&service, &[]))), "a");
 }
 
-/// A target that all 64 gateways of a large deployment know, and have not used for a while, restarts
-/// cold without announcing it. Each gateway then has a request for it within the same second.
+/// No gateway has sent to the target while its availability zone was out, and all learn of its return together.
 #[test]
 fn targets_of_a_returning_zone_are_not_overrun_by_many_gateways() {
     let service = service(26.0);
@@ -237,6 +236,8 @@
     );
 }
 
+/// A target that all 64 gateways of a large deployment know, and have not used for a while, restarts
+/// cold without announcing it. Each gateway then has a request for it within the same second.
 #[test]
 fn a_known_target_that_falls_cold_is_not_overrun_by_many_gateways() {
     let service = service(26.0);
