--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -149,13 +149,7 @@
             ("node-name", machine.name.clone()),
             ("zone", machine.zone.to_owned()),
             ("region", "south-east".to_owned()),
-            (
-                "data-directory",
-                self.folder
-                    .join(format!("data-{}", machine.name))
-                    .display()
-                    .to_string(),
-            ),
+            ("data-directory", self.data_folder(index).display().to_string()),
             ("bootstrap|json", self.bootstrap.to_string()),
             ("listeners-map.admin", self.admin(index).to_string()),
             ("listeners-map.front-address", self.front(index).to_string()),
@@ -225,6 +219,32 @@
         }
     }
 
+    /// Sends SIGTERM to the process of a machine and waits until it has ended.
+    pub fn terminate(&mut self, index: usize) -> Result<(), Fault> {
+        let Some(mut child) = self.machines[index].child.take() else {
+            return Err("no process to stop".to_owned());
+        };
+        let sent = Command::new("kill")
+            .arg("-TERM")
+            .arg(child.id().to_string())
+            .status();
+        if !sent.is_ok_and(|status| status.success()) {
+            let _ = child.kill();
+            return Err("SIGTERM could not be sent".to_owned());
+        }
+        child.wait().map_err(|e| e.to_string())?;
+        Ok(())
+    }
+
+    /// Removes the data folder of a machine whose process does not run.
+    pub fn wipe(&self, index: usize) -> Result<(), Fault> {
+        fs::remove_dir_all(self.data_folder(index)).map_err(|e| e.to_string())
+    }
+
+    fn data_folder(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("data-{}", self.machines[index].name))
+    }
+
     /// Log lines of a machine that contain `text`.
     pub fn log_lines(&self, index: usize, text: &str) -> Vec<String> {
         let path = self.folder.join(format!("{}.log", self.machines[index].name));
