--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -1,14 +1,9 @@
-//! A replica that has left gets work again after a change of leader.
+//! A stream that was broken off is passed on as complete when the run that goes on with it brings nothing.
 
 #[path = "../standin/mod.rs"]
 mod standin;
 
-use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
-use std::thread;
 
 use standin::Fault;
 use standin::Verdict;
@@ -19,175 +14,104 @@
 use standin::sleep_ms;
 use standin::vm;
 
-/// Bounds of the site.
-const CONTACT_MS: u64 = 3_000;
-const DRAIN_TIMEOUT_MS: u64 = 2_000;
-/// Time for which the machine that has acknowledged is without power.
-const DOWN_MS: u64 = 5_000;
-/// Time for which the replica serves after its last call: `drain-timeout-ms` and some seconds.
-const LINGER_MS: u64 = 6_000;
-/// Pause of a client between an answer and its next order: each edge machine gets about two a second.
-const ORDER_PAUSE_MS: u64 = 420;
-const ROUNDS: u64 = 6;
-/// No round starts later than this.
-const LAST_START_MS: u64 = 92_000;
+const MODEL: &str = "m1";
+const VMS: u8 = 12;
+/// Events of each stream, and the pause between them.
+const EVENTS: u64 = 20;
+const PACE_MS: u64 = 100;
+/// Events after which the first replica crashes.
+const CRASH_AFTER: u64 = 8;
 
 fn main() -> ExitCode {
     standin::run(case)
 }
 
-fn manifest() -> &'static str {
-    r#"{"version":1,"routes":[{"name":"orders","host":"a.example","path-prefix":"/orders/","type":"non_idempotent","timeout-ms":2500,"target-latency-ms":150,"priority":2,"service":"desk","max-attempts":1,"public":true}],"services":[{"name":"desk","health-path":"/healthz","max-connections":96,"protocol":"h1","tls":false,"cold-start-s":0.0,"cold-per-s":0.0}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#
+fn manifest() -> String {
+    format!(
+        r#"{{"version":1,"routes":[{{"name":"quotes","host":"a.example","path-prefix":"/quotes/","type":"streaming","timeout-ms":8000,"target-latency-ms":500,"priority":1,"service":"llm","max-attempts":2,"public":true,"session-affinity":true,"stream-resume":true,"target-gap-ms":300}}],"services":[{{"name":"llm","health-path":"/healthz","max-connections":464,"protocol":"h1","tls":false,"cold-start-s":0.0,"cold-per-s":0.0,"inference-engine":{{"slots":26,"kv-cache-tokens":1400000,"stride":5,"model-list":[{{"name":"{MODEL}","size":2,"traffic-share":1.0,"pace":0.6,"load-time-s":12.0,"warmup-s":1.1}}],"step_ms":6.07,"per_seq_ms":0.241,"read_per_s":46000.0,"chunk":2048,"report_lag_ms":200.0,"loads-per-s":4.0,"loads_at_once":6,"usual":{{"prompt":1076,"answer":116}},"kept-model-count":1,"far_x":2.5,"group-open-ms":300.0}}}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#
+    )
 }
 
-/// Sends orders to one edge machine until `is_over`.
-fn send_orders(front: SocketAddr, client: usize, is_over: &AtomicBool) {
-    let mut number = 0;
-    while !is_over.load(Ordering::Relaxed) {
-        number += 1;
-        let id = format!("order-{client}-{number}");
-        let headers = [
-            ("host", "a.example"),
-            ("x-attempt-id", id.as_str()),
-            ("x-deadline-ms", "2500"),
-        ];
-        let answer = http::call(front, "POST", "/orders/1", &headers, "a die", 4_000);
-        let status = answer.map(|(answer, _)| answer.status());
-        if status != Some(200) {
-            note(format!("client: answer to {id}: {status:?}"));
-        }
-        sleep_ms(ORDER_PAUSE_MS);
-    }
+/// What a client got: status, identifiers of the events, and whether the answer looks complete.
+fn ask(front: std::net::SocketAddr, id: &str) -> Option<(u16, Vec<u64>, bool)> {
+    let headers = [
+        ("host", "a.example"),
+        ("x-attempt-id", id),
+        ("x-model", MODEL),
+        ("x-token-usage", "714,80"),
+        ("x-deadline-ms", "8000"),
+    ];
+    note(format!("client: sends request {id}"));
+    let (answer, is_whole) = http::call(front, "POST", "/quotes/1", &headers, "fit", 12_000)?;
+    let text = answer.text();
+    let ids = text.lines().filter_map(|l| l.strip_prefix("id: ")?.parse().ok());
+    let ids: Vec<u64> = ids.collect();
+    note(format!(
+        "client: answer to {id}: {}, events {:?} to {:?}, {}",
+        answer.status(),
+        ids.first(),
+        ids.last(),
+        if is_whole { "complete" } else { "broken off" }
+    ));
+    Some((answer.status(), ids, is_whole))
 }
 
 fn case(with_trouble: bool) -> Result<Verdict, Fault> {
     let mut site = Site::new();
-    let core_zones = ["gadsden", "gadsden", "spartanburg", "spartanburg", "chattanooga"];
-    for (i, zone) in core_zones.into_iter().enumerate() {
+    let zones = ["gadsden", "gadsden", "spartanburg", "spartanburg", "chattanooga"];
+    for (i, zone) in zones.into_iter().enumerate() {
         site.add(&format!("core-{i}"), zone, true);
     }
-    let edge_zones = [
-        "gadsden",
-        "gadsden",
-        "gadsden",
-        "spartanburg",
-        "spartanburg",
-        "chattanooga",
-    ];
-    for (i, zone) in edge_zones.into_iter().enumerate() {
-        site.add(&format!("edge-{i}"), zone, false);
-    }
+    site.add("edge-0", "gadsden", false);
     site.start_core()?;
-    site.end_bootstrap();
-    let edges: Vec<usize> = (0..edge_zones.len())
-        .map(|i| site.index(&format!("edge-{i}")))
-        .collect();
-    for edge in &edges {
-        site.start(*edge)?;
-    }
-    let controllers: Vec<_> = site.core().into_iter().map(|i| site.admin(i)).collect();
-    let world = vm::world(controllers, "m0");
-    let start_replica = |id: &str, number: u8, zone: &'static str, site: &Site| {
-        vm::start(&world, id, site.ip(number), zone, "desk");
-        world.with(id, |state| state.work_ms = 80);
-    };
-    for (number, zone) in ["gadsden", "spartanburg", "chattanooga"].into_iter().enumerate() {
-        start_replica(&format!("d{number}"), 50 + number as u8, zone, &site);
+    let edge = site.index("edge-0");
+    site.start(edge)?;
+    let controllers = site.core().into_iter().map(|i| site.admin(i)).collect();
+    let world = vm::world(controllers, MODEL);
+    let names: Vec<String> = (0..VMS).map(|n| format!("vm{n:02}")).collect();
+    for (number, name) in names.iter().enumerate() {
+        vm::start(&world, name, site.ip(50 + number as u8), "gadsden", "llm");
+        // All streams are without length and chunks.
+        world.with(name, |state| {
+            (state.is_unframed, state.events, state.pace_ms) = (true, EVENTS, PACE_MS)
+        });
     }
     sleep_ms(500);
-    site.operate("PUT", "/configuration", manifest())?;
-    let is_over = Arc::new(AtomicBool::new(false));
-    let mut clients = Vec::new();
-    for (client, edge) in edges.iter().enumerate() {
-        let (front, is_over) = (site.front(*edge), is_over.clone());
-        clients.push(thread::spawn(move || send_orders(front, client, &is_over)));
-    }
-    let mut verdict = Verdict::Held;
-    for round in 0..ROUNDS {
-        if now_ms() > LAST_START_MS || verdict == Verdict::Broken {
-            break;
-        }
-        let leader = standin::wait_for("a leader", 10_000, || site.leader())?;
-        // The replica that leaves is in a zone whose machines of the core follow.
-        let is_following = |zone: &&&str| **zone != site.machines[leader].zone;
-        let zone = ["spartanburg", "chattanooga"]
-            .iter()
-            .find(is_following)
-            .expect("a zone");
-        let x = format!("x{round}");
-        start_replica(&x, 60 + round as u8, zone, &site);
-        let has_work = || world.runs.lock().unwrap().iter().any(|(_, _, vm)| *vm == x);
-        standin::wait_for("work at the replica", 20_000, || has_work().then_some(()))?;
-        sleep_ms(2_500);
-        if site.leader() != Some(leader) {
-            return Err("the leader has changed by itself".to_owned());
-        }
+    site.operate("PUT", "/configuration", &manifest())?;
+    standin::wait_for("three open groups", 20_000, || {
+        (world.open_groups().len() >= 3).then_some(())
+    })?;
+    let front = site.front(edge);
+    standin::wait_for("service", 15_000, || {
+        let answer = ask(front, &format!("warm-{}", now_ms()))?;
+        (answer.0 == 200 && answer.1.len() as u64 == EVENTS).then_some(())
+    })?;
+    sleep_ms(1_500);
+    if with_trouble {
         note(format!(
-            "round {round}: {x} in {zone}; its heartbeats go to {:?}; it takes its leave at {}",
-            world.with(&x, |state| state.beat_at),
-            site.machines[leader].name
+            "two of the {VMS} replicas will crash: the one that runs the next request, inside an event, and the one that goes on with it"
         ));
-        let last = world.with(&x, |state| state.acknowledged_ms);
-        while world.with(&x, |state| state.acknowledged_ms) == last {
-            sleep_ms(5);
+        for name in &names {
+            world.with(name, |state| {
+                (state.crash_after, state.crashes_on_resume) = (Some(CRASH_AFTER), true);
+            });
         }
-        let answer = http::call(
-            site.admin(leader),
-            "DELETE",
-            &format!("/replicas/{x}"),
-            &[],
-            "",
-            1_000,
-        );
-        let status = answer.map(|(answer, _)| answer.status());
-        let left_at = now_ms();
-        world.with(&x, |state| state.is_gone = true);
-        note(format!(
-            "{x}: DELETE: {status:?}; it serves for {LINGER_MS} ms and then ends"
-        ));
-        if status != Some(200) {
-            return Err("the leave was not acknowledged".to_owned());
-        }
-        if with_trouble {
-            note(format!(
-                "{}, which has acknowledged this, loses power for {DOWN_MS} ms",
-                site.machines[leader].name
-            ));
-            site.kill(leader);
-        }
-        sleep_ms((left_at + DOWN_MS).saturating_sub(now_ms()));
-        if with_trouble {
-            site.start(leader)?;
-            note(format!("{} starts again", site.machines[leader].name));
-        }
-        sleep_ms((left_at + LINGER_MS).saturating_sub(now_ms()));
-        vm::end(&world, &x);
-        note(format!("{x}: its process has ended"));
-        let runs = world.runs.lock().unwrap().clone();
-        let at_x = runs.iter().filter(|(at, _, vm)| *vm == x && *at > left_at);
-        let after_ms: Vec<u64> = at_x.map(|(at, _, _)| at - left_at).collect();
-        note(format!(
-            "requests that began to run at {x} after its leave, in ms after it: {after_ms:?}"
-        ));
-        // From the kill of a machine of the core, and from its start, no machine is in touch for `contact-ms`.
-        let from = if with_trouble {
-            CONTACT_MS.max(DRAIN_TIMEOUT_MS) + 100
-        } else {
-            DRAIN_TIMEOUT_MS
-        };
-        let until = if with_trouble { DOWN_MS } else { LINGER_MS };
-        let late = after_ms.iter().filter(|ms| (from..until).contains(ms)).count();
-        note(format!(
-            "of these from {from} to {until} ms, when all machines are in touch: {late}"
-        ));
-        if late > 0 {
-            verdict = Verdict::Broken;
-        }
-        sleep_ms(4_000);
     }
-    is_over.store(true, Ordering::Relaxed);
-    for client in clients {
-        let _ = client.join();
+    let Some((status, ids, is_whole)) = ask(front, "fit-1") else {
+        return Err("no answer".to_owned());
+    };
+    let ended = names
+        .iter()
+        .filter(|name| world.with(name, |state| state.has_ended))
+        .count();
+    note(format!("replicas that have crashed: {ended}"));
+    if with_trouble && ended != 2 {
+        return Err("the stream was not resumed".to_owned());
     }
-    Ok(verdict)
+    let is_short = ids != (1..=EVENTS).collect::<Vec<u64>>();
+    Ok(if status == 200 && is_whole && is_short {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/standin/vm.rs
+++ b/review/standin/vm.rs
@@ -4,6 +4,7 @@
 use std::io::BufReader;
 use std::io::Write;
 use std::net::Ipv4Addr;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -71,6 +72,12 @@
     pub events: u64,
     /// Work of a request that is no stream.
     pub work_ms: u64,
+    /// Streams have neither a length nor chunks and end with their connection.
+    pub is_unframed: bool,
+    /// The process crashes inside the event after this many events of a stream.
+    pub crash_after: Option<u64>,
+    /// The process crashes when it has sent the head of a stream that goes on after an earlier event.
+    pub crashes_on_resume: bool,
 }
 
 /// Join of another group while the head of the VM's last group was open, or stood still unbroken.
@@ -139,6 +146,9 @@
         pace_ms: 100,
         events: 10,
         work_ms: 30,
+        is_unframed: false,
+        crash_after: None,
+        crashes_on_resume: false,
     };
     world.vms.lock().unwrap().insert(id.to_owned(), state);
     let (shared, vm) = (world.clone(), id.to_owned());
@@ -561,12 +571,28 @@
     (first, last, pace_ms): (u64, u64, u64),
     output: &mut TcpStream,
 ) -> bool {
+    let (is_unframed, crash_after, crashes_on_resume) = world.with(vm, |state| {
+        (state.is_unframed, state.crash_after, state.crashes_on_resume)
+    });
+    let framing = match is_unframed {
+        true => "connection: close",
+        false => "transfer-encoding: chunked",
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-signature: s.{vm}\r\nx-weight-versions: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-replica-signature: s.{vm}\r\nx-weight-versions: 1\r\ncontent-type: text/event-stream\r\n{framing}\r\n\r\n"
     );
     if output.write_all(head.as_bytes()).is_err() {
         return false;
     }
+    if crashes_on_resume && first > 1 {
+        sleep_ms(50);
+        note(format!(
+            "{vm}: crashes before the first event of {id}, after event {}",
+            first - 1
+        ));
+        end(world, vm);
+        return false;
+    }
     for event in first..=last {
         sleep_ms(pace_ms);
         loop {
@@ -581,11 +607,27 @@
                 None => break,
             }
         }
-        let text = format!("id: {event}\ndata: {id} {event}\n\n");
-        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        let mut text = format!("id: {event}\ndata: {id} {event}\n\n");
+        let crashes = crash_after.is_some_and(|after| event > after);
+        if crashes {
+            text.truncate(text.len() / 2);
+        }
+        let chunk = match is_unframed {
+            true => text,
+            false => format!("{:x}\r\n{text}\r\n", text.len()),
+        };
         if output.write_all(chunk.as_bytes()).is_err() {
             return false;
         }
+        if crashes {
+            note(format!("{vm}: crashes inside event {event} of {id}"));
+            end(world, vm);
+            return false;
+        }
+    }
+    if is_unframed {
+        // The end of the connection ends the stream.
+        return output.shutdown(Shutdown::Both).is_ok();
     }
     output.write_all(b"0\r\n\r\n").is_ok()
 }
