--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -20,7 +20,7 @@
 /// Time from the start of the cut to the operator's change.
 const CHANGE_AFTER_MS: u64 = 120;
 /// Lengths of the cuts, in turn.
-const CUT_MS: [u64; 5] = [880, 850, 870, 840, 860];
+const CUT_MS: [u64; 5] = [840, 850, 830, 820, 845];
 const ROUNDS: u64 = 30;
 /// No round starts later than this.
 const LAST_START_MS: u64 = 100_000;
