--- a/tests/detours.rs
+++ b/tests/detours.rs
@@ -20,6 +20,7 @@
 use site::Vm;
 use site::call;
 use site::events;
+use site::metric;
 use site::site_with_two_groups;
 
 /// Attempts at a gateway of a site whose links are cut.
@@ -69,15 +70,6 @@
     }
 }
 
-async fn metric(status: SocketAddr, name: &str) -> f64 {
-    let (_, text) = call(status, "GET", "/metrics", "", &[]).await.unwrap();
-    let text = String::from_utf8(text.to_vec()).unwrap();
-    let values = text.lines().filter(|l| l.starts_with(name));
-    values
-        .filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok())
-        .sum()
-}
-
 async fn partitioned_site(number: u8, links: Links) -> (Site, Vec<Vm>, Cut, Caller) {
     let (site, vms) = site_with_two_groups(number).await;
     let cut = Cut::start(&site, "g2").await;
--- a/tests/partitions.rs
+++ b/tests/partitions.rs
@@ -14,6 +14,7 @@
 use site::Vm;
 use site::call;
 use site::events;
+use site::metric;
 use site::site_with_two_groups;
 
 /// Time after the begin of a cut from which it may not show.
@@ -162,3 +163,31 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstreams_are_not_reported_as_stalled_by_a_gateway_that_reaches_none_of_them() {
+    let (mut site, _vms) = site_with_two_groups(186).await;
+    let cut = Cut::start(&site, "g2").await;
+    let started = Instant::now();
+    while !is_served(cut.address, 1).await {
+        assert!(started.elapsed() < STATE_TIMEOUT, "not served before");
+    }
+    site.kill("gateway-g1");
+    cut.set(Links::Silent);
+    let observe_reports = async {
+        let mut stalled = 0.0_f64;
+        for _ in 0..60 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            stalled = stalled.max(metric(cut.status, "heatherramp_gateway_stalled_targets ").await);
+        }
+        stalled
+    };
+    let (_, stalled) = tokio::join!(call_steadily(cut.address), observe_reports);
+    assert_eq!(stalled, 0.0, "upstreams that run are reported as stalled");
+    // Groups that controllers have not given up serve as soon as the links are back.
+    cut.set(Links::Open);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let served = (0..10).map(|n| is_served(cut.address, 2 * n + 1));
+    let served = futures_util::future::join_all(served).await;
+    assert!(served.iter().all(|s| *s), "not served afterwards");
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -95,6 +95,16 @@
     }
 }
 
+/// Sum of the values of a metric.
+pub async fn metric(status: SocketAddr, name: &str) -> f64 {
+    let (_, text) = call(status, "GET", "/metrics", "", &[]).await.unwrap();
+    let text = String::from_utf8(text.to_vec()).unwrap();
+    let values = text.lines().filter(|l| l.starts_with(name));
+    values
+        .filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
+
 pub fn free_port(ip: IpAddr) -> u16 {
     let socket = std::net::TcpListener::bind((ip, 0)).unwrap();
     socket.local_addr().unwrap().port()
