fleet: answer a caller only when its own record is applied

Cause: callers were kept by log index. One append of the new leader can end the old leadership, replace the record and commit another one at the same index, and the caller got the answer of that record. Why it works: index and term identify a record; a caller whose record was replaced is redirected.

--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -81,8 +81,8 @@
     pub(super) limits: Register,
     /// Evidence against prompt parts.
     pub(super) quarantine: Quarantine,
-    /// Callers that wait for a proposal to be applied, by log index.
-    tickets_by_index: BTreeMap<u64, Vec<Ticket>>,
+    /// Callers that wait for a proposal to be applied, by the log index and term of its record.
+    waiting_callers: BTreeMap<(u64, u64), Vec<Ticket>>,
     /// Log indices of this leader's own proposals, without a caller, that are not applied yet.
     pub(super) own_proposals: VecDeque<u64>,
     /// Helpers among the gateways of all controllers.
@@ -132,7 +132,7 @@
             urgent_changes: 0,
             limits: Register::default(),
             quarantine: Quarantine::default(),
-            tickets_by_index: BTreeMap::new(),
+            waiting_callers: BTreeMap::new(),
             own_proposals: VecDeque::new(),
             helpers: Helpers::default(),
             polls: Vec::new(),
@@ -246,7 +246,7 @@
             Call::Adopt(document) => self.adopt_catalog(now, ticket, document, out),
             Call::SetZone { zone, out: is_out } => {
                 // A proposal that is still pending may change the zone.
-                if self.state.zones_out.contains(&zone) == is_out && self.tickets_by_index.is_empty() {
+                if self.state.zones_out.contains(&zone) == is_out && self.waiting_callers.is_empty() {
                     out.push(Action::Answer(ticket, Answer::Done));
                     return;
                 }
@@ -293,7 +293,7 @@
     /// has to be committed: otherwise the next leader would name the VM as a target.
     fn answer_when_applied(&mut self, ticket: Ticket, out: &mut Vec<Action>) {
         match self.own_proposals.back() {
-            Some(index) => self.tickets_by_index.entry(*index).or_default().push(ticket),
+            Some(index) => self.wait_for(*index, ticket),
             None => out.push(Action::Answer(ticket, Answer::Done)),
         }
     }
@@ -349,7 +349,7 @@
     ) {
         let index = self.node.journal().last_index() + 1;
         match ticket {
-            Some(ticket) => self.tickets_by_index.entry(index).or_default().push(ticket),
+            Some(ticket) => self.wait_for(index, ticket),
             None => self.own_proposals.push_back(index),
         }
         let text = serde_json::to_string(&command).expect("commands have string keys");
@@ -357,6 +357,12 @@
         self.step_consensus(now, consensus::Event::Propose(vec![payload]), out);
     }
 
+    /// Answers a caller once this leader's record at `index` is applied.
+    fn wait_for(&mut self, index: u64, ticket: Ticket) {
+        let record = (index, self.node.term());
+        self.waiting_callers.entry(record).or_default().push(ticket);
+    }
+
     /// Passes an event to the consensus node, and applies what it commits.
     pub(super) fn step_consensus(&mut self, now: Duration, event: consensus::Event, out: &mut Vec<Action>) {
         let actions = self.node.step(now, event);
@@ -398,8 +404,21 @@
             }
         }
         self.own_proposals.retain(|index| *index > record.index);
-        if let Some(tickets) = self.tickets_by_index.remove(&record.index) {
-            out.extend(tickets.into_iter().map(|t| Action::Answer(t, Answer::Done)));
+        self.answer_waiting_callers(record, out);
+    }
+
+    /// Answers the callers whose proposal is `record`, and redirects those whose proposal another leader's
+    /// record has replaced: the step that applies it may also be the one that ends the leadership.
+    fn answer_waiting_callers(&mut self, record: &consensus::Record, out: &mut Vec<Action>) {
+        let later = self.waiting_callers.split_off(&(record.index + 1, 0));
+        for ((index, term), tickets) in std::mem::replace(&mut self.waiting_callers, later) {
+            let is_applied = (index, term) == (record.index, record.term);
+            for ticket in tickets {
+                out.push(match is_applied {
+                    true => Action::Answer(ticket, Answer::Done),
+                    false => self.redirect(ticket),
+                });
+            }
         }
     }
 
@@ -426,7 +445,7 @@
         if !leads && self.leading_since.is_some() {
             self.leading_since = None;
             self.own_proposals.clear();
-            let tickets: Vec<Ticket> = std::mem::take(&mut self.tickets_by_index)
+            let tickets: Vec<Ticket> = std::mem::take(&mut self.waiting_callers)
                 .into_values()
                 .flatten()
                 .collect();
