fleet: a head out of reach counts as stopped from the heartbeat of a member that has left

Cause: the stop time ran from the order to leave, or from the notice that a member drains, before anybody had left. It now runs from the first heartbeat that shows that another member is not in the group; silence, an order and a notice of shutdown show nothing. A group without such evidence is kept (an hour at most after its members are gone).

--- a/src/domain/fleet/lifecycle.rs
+++ b/src/domain/fleet/lifecycle.rs
@@ -2,8 +2,9 @@
 //!
 //! Once every member has joined, the head is ordered to open. When a member is lost, the group is
 //! closed: the head is ordered to leave, and the members can be claimed by another group only when
-//! the head certainly accepts no more requests. A head that cannot be reached counts as open for
-//! [`Timing::head_stop_time`]: by then the other members have left, and it refuses requests by itself.
+//! the head certainly accepts no more requests. A head that cannot be reached counts as open until
+//! [`Timing::head_stop_time`] after another member was seen to have left: from then on nothing moves in
+//! the group, and the head refuses requests by itself. An order to leave does not count, since it may be lost.
 //!
 //! A silent head may be sound and go on with its answers. Until it has been silent for
 //! [`Timing::vm_silence_limit`], it is ordered to finish them, and no member is ordered to leave.
@@ -23,6 +24,8 @@
 
 /// Time after which an order to the same member may be sent again.
 const ORDER_RETRY_INTERVAL: Duration = Duration::from_millis(1_300);
+/// Time after which a closing group is dissolved if none of its members is known any more.
+const ABANDONED_GROUP_RETENTION: Duration = Duration::from_secs(3_600);
 /// Time after which a group that has not opened is closed; includes the load of the weights.
 const FORMATION_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -56,6 +59,8 @@
     pub(super) closing: Option<(Loss, Duration)>,
     /// Since when the members of a closing group are ordered to leave.
     leaving_since: Option<Duration>,
+    /// When a member other than the head had certainly left the closing group.
+    incomplete_since: Option<Duration>,
     /// Time of the last order to each member, by VM.
     last_sent: BTreeMap<String, Duration>,
 }
@@ -87,6 +92,16 @@
     pub(super) leading_since: Duration,
 }
 
+impl View<'_> {
+    /// This view without the reports that the head has stopped answering.
+    fn without_stall(&self) -> View<'_> {
+        View {
+            head_stalled: false,
+            ..*self
+        }
+    }
+}
+
 impl Lifecycle {
     /// Lifecycle of a group that this leader begins to track, from the replicated state.
     ///
@@ -99,6 +114,7 @@
             // The reason is not replicated. With `Left` all members are ordered to leave.
             closing: group.closing.then_some((Loss::Left, now)),
             leaving_since: None,
+            incomplete_since: None,
             last_sent: BTreeMap::new(),
         }
     }
@@ -173,7 +189,8 @@
             self.leaving_since = Some(view.now);
             self.last_sent.clear();
         }
-        if self.is_head_stopped(group, view, loss, since) {
+        self.incomplete_since = member_left_at(group, view).map(|at| self.incomplete_since.unwrap_or(at));
+        if self.is_head_stopped(group, view, since) || self.is_abandoned(group, view, since) {
             out.push(Effect::Dissolve);
             return;
         }
@@ -197,14 +214,15 @@
     /// Whether the members of a closing group are to leave although answers may be in progress.
     fn must_leave(&self, group: &Group, view: &View, loss: Loss) -> bool {
         match loss {
-            Loss::Draining => false,
+            // A member that drains stays while the head has work, unless the head is lost.
+            Loss::Draining => {
+                let loss = member_loss(group, group.head(), self.opened, &view.without_stall());
+                loss.is_some_and(|l| l != Loss::Draining)
+            }
             Loss::Silent => {
                 // The shorter limit for stalled groups closes a group to new requests, but does not
                 // show that its head is lost.
-                let patient = View {
-                    head_stalled: false,
-                    ..*view
-                };
+                let patient = view.without_stall();
                 let mut members = group.members.iter().enumerate();
                 members.any(|(rank, member)| {
                     let view = if rank == 0 { &patient } else { view };
@@ -219,19 +237,15 @@
     /// Whether the head certainly accepts no more requests.
     ///
     /// It was never ordered to open, has restarted, has reported after `since` that it is broken or
-    /// has left, or cannot be reached and [`Timing::head_stop_time`] has passed since the order to the
-    /// members to leave.
-    fn is_head_stopped(&self, group: &Group, view: &View, loss: Loss, since: Duration) -> bool {
+    /// has left, or cannot be reached and [`Timing::head_stop_time`] has passed since another member left.
+    fn is_head_stopped(&self, group: &Group, view: &View, since: Duration) -> bool {
         if !self.may_have_opened {
             return true;
         }
         let head = group.head();
-        let stop_since = if loss == Loss::Draining {
-            Some(since)
-        } else {
-            self.leaving_since
-        };
-        let is_stop_time_over = stop_since.is_some_and(|at| view.now > at + view.timing.head_stop_time());
+        let is_stop_time_over = self
+            .incomplete_since
+            .is_some_and(|at| view.now > at + view.timing.head_stop_time());
         let Some(vm) = view.registry.get(&head.id) else {
             return is_stop_time_over;
         };
@@ -246,6 +260,12 @@
         is_silent && is_stop_time_over
     }
 
+    /// Whether no member has been known for [`ABANDONED_GROUP_RETENTION`].
+    fn is_abandoned(&self, group: &Group, view: &View, since: Duration) -> bool {
+        let mut members = group.members.iter();
+        view.now > since + ABANDONED_GROUP_RETENTION && members.all(|m| view.registry.get(&m.id).is_none())
+    }
+
     /// Sends an order to a member, unless the last order to it is too recent.
     fn send(&mut self, group: &Group, member: &Member, task: Task, view: &View, out: &mut Vec<Effect>) {
         if self.was_sent_lately(member, view) {
@@ -273,6 +293,21 @@
     }
 }
 
+/// Heartbeat that shows that a member other than the head is not in the group any more, if there is one.
+///
+/// A VM that has said that it shuts down may still be in the group, and so may a silent one. Heartbeats from
+/// before this leadership may be older than the group.
+fn member_left_at(group: &Group, view: &View) -> Option<Duration> {
+    let others = group.members[1..].iter().filter_map(|member| {
+        let vm = view.registry.get(&member.id)?;
+        let has_left = vm.announcement.incarnation >= member.incarnation
+            && vm.last_heartbeat >= view.leading_since
+            && reported_stage(group, member, view).is_none();
+        has_left.then_some(vm.last_heartbeat)
+    });
+    others.min()
+}
+
 /// Stage that a member reports in this group; none if it reports another group or incarnation.
 fn reported_stage(group: &Group, member: &Member, view: &View) -> Option<Stage> {
     let vm = view.registry.get(&member.id)?;
--- a/src/domain/fleet/timing.rs
+++ b/src/domain/fleet/timing.rs
@@ -5,8 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Time for an order to leave to reach a member and take effect.
-const LEAVE_ORDER_MARGIN: Duration = Duration::from_millis(500);
+/// Time for a head to notice that a member has left.
+const MEMBER_LOSS_MARGIN: Duration = Duration::from_millis(200);
 
 /// Settings of a fleet controller's decisions.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -69,8 +69,8 @@
     }
 
     /// Time after which a head that cannot be reached certainly refuses requests, counted from
-    /// the order to its members to leave.
+    /// the heartbeat that shows that another member has left.
     pub fn head_stop_time(&self) -> Duration {
-        Duration::from_millis(self.stall_ms) + LEAVE_ORDER_MARGIN
+        Duration::from_millis(self.stall_ms) + MEMBER_LOSS_MARGIN
     }
 }
