gateway: a continuation without a further event does not complete a stream

Cause: the end of a run that continues a stream counted as complete even if it had brought nothing. It must now bring an event that the caller did not have, however it is framed; one rule in Run::end_of_body also replaces that of outlast_silence.

--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -25,6 +25,7 @@
 use crate::domain::fleet::Target;
 use crate::domain::gateway::Choice;
 use crate::domain::gateway::Criteria;
+use crate::domain::gateway::Event;
 use crate::domain::gateway::Outcome;
 use crate::logging;
 
@@ -45,6 +46,15 @@
     pub(super) last_event_id: Option<u64>,
 }
 
+impl Position {
+    /// Whether `event` was passed on already; a run that continues a stream may repeat events.
+    pub(super) fn includes(&self, event: &Event) -> bool {
+        event
+            .id
+            .is_some_and(|id| self.last_event_id.is_some_and(|last| id <= last))
+    }
+}
+
 /// Sends of one stream, and the search for a further one.
 pub(super) struct Search {
     context: Arc<Context>,
@@ -182,7 +192,7 @@
                 Ok(None)
             }
             Classification::Own if response.status().is_success() => {
-                let run = Run::new(&self.request, response, connection, send, position.events);
+                let run = Run::new(&self.request, response, connection, send, position);
                 Ok(Some(run))
             }
             Classification::Own | Classification::Foreign => {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -30,7 +30,6 @@
 use crate::adapters::http1::Abort;
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Connection;
-use crate::adapters::http1::Framing;
 use crate::domain::catalog::Service;
 use crate::domain::gateway::Event;
 use crate::domain::gateway::Outcome;
@@ -70,7 +69,7 @@
         position: Position::default(),
         first_ms: 0,
     };
-    let run = Run::new(&relay.request, response, connection, send, 0);
+    let run = Run::new(&relay.request, response, connection, send, Position::default());
     tokio::spawn(relay.run(run));
     answer
 }
@@ -189,12 +188,6 @@
                         next.abandon(Outcome::Failed);
                         continue 'search;
                     }
-                    // The end of its connection does not show that no event follows.
-                    (Some(Progress::Ended(End::Complete)), true) if next.framing == Framing::Connection => {
-                        self.log_run_end(&next, End::Broken("ended before an event"));
-                        next.abandon(Outcome::Failed);
-                        continue 'search;
-                    }
                     (Some(Progress::Ended(End::Broken(cause))), false) => {
                         self.replace(run, next, cause, Outcome::Failed);
                         return Progress::Silent;
@@ -266,11 +259,7 @@
         let mut chunk = Vec::new();
         for event in events {
             let position = &mut self.position;
-            // A resumed run may repeat events that the caller already has.
-            let is_duplicate = event
-                .id
-                .is_some_and(|id| position.last_event_id.is_some_and(|last| id <= last));
-            if is_duplicate {
+            if position.includes(event) {
                 continue;
             }
             position.last_event_id = event.id.or(position.last_event_id);
--- a/src/gateway/stream_run.rs
+++ b/src/gateway/stream_run.rs
@@ -9,6 +9,7 @@
 
 use super::evidence;
 use super::request::Request;
+use super::search::Position;
 use super::send::Send;
 use crate::adapters::clock;
 use crate::adapters::http1::Connection;
@@ -50,21 +51,23 @@
     /// What the run shows of the request's prompt parts.
     evidence: evidence::Run,
     splitter: Splitter,
-    /// Whether the caller had events from earlier runs when this one started.
-    is_continuation: bool,
+    /// How far the stream had come when this run started.
+    start: Position,
     /// Whether this run has delivered an event.
     is_streaming: bool,
+    /// Whether this run has delivered an event that earlier runs had not.
+    has_new_event: bool,
     late_bytes: usize,
 }
 
 impl Run {
-    /// Run whose answer has this head; `events` is the number of events that the caller has.
+    /// Run whose answer has this head, of a stream that has come to `start`.
     pub(super) fn new(
         request: &Arc<Request>,
         response: Response<Incoming>,
         connection: Connection,
         send: Send,
-        events: u64,
+        start: Position,
     ) -> Self {
         Run {
             framing: Framing::of(&response),
@@ -74,8 +77,9 @@
             request: request.clone(),
             evidence: evidence::Run::default(),
             splitter: Splitter::default(),
-            is_continuation: events > 0,
+            start,
             is_streaming: false,
+            has_new_event: false,
             late_bytes: 0,
         }
     }
@@ -118,6 +122,7 @@
         self.send.record_heard();
         let is_first = !self.is_streaming;
         self.is_streaming = true;
+        self.has_new_event |= events.iter().any(|event| !self.start.includes(event));
         let context = &self.send.context;
         context
             .balancer()
@@ -130,9 +135,16 @@
     /// End of a run whose body has ended without an error.
     ///
     /// The end of a connection also ends a body without framing, so only the events show whether it is whole.
+    /// A run that continues a stream was started because more was to follow, however it is framed.
     fn end_of_body(&self) -> End {
-        let is_empty = !self.is_continuation && !self.is_streaming;
-        if (is_empty && self.framing == Framing::Connection) || self.splitter.is_inside_event() {
+        let lacks_event = match self.start.events {
+            0 => !self.is_streaming && self.framing == Framing::Connection,
+            _ => !self.has_new_event,
+        };
+        if lacks_event {
+            return End::Broken("ended before an event");
+        }
+        if self.splitter.is_inside_event() {
             return End::Broken("ended inside an event");
         }
         End::Complete
