fleet: a controller that shuts down hands its vote to the successor that stands by

Cause: a controller that stops handed over its leadership only; its vote stayed with it for voter_lost_ms. It now tells the leader, which promotes the learner, removes the old voter and then answers.

--- a/src/domain/fleet/call.rs
+++ b/src/domain/fleet/call.rs
@@ -133,6 +133,11 @@
         /// Identity of the controller.
         identity: String,
     },
+    /// A controller shuts down. Answered once it has no vote any more, or nobody could take the vote over.
+    Depart {
+        /// Identity of the controller.
+        identity: String,
+    },
     /// An operator submits a catalog.
     Adopt(Box<Document>),
     /// An operator takes an availability zone out of service or back in.
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -22,6 +22,7 @@
 use super::event::Ticket;
 use super::lifecycle::Lifecycle;
 use super::log_membership;
+use super::log_membership::Departure;
 use super::quarantine::Quarantine;
 use crate::domain::consensus;
 use crate::domain::consensus::Node;
@@ -68,6 +69,8 @@
     pub(super) gateway_count: usize,
     /// When this leader first found each member in the log's membership, by identity.
     pub(super) member_first_seen: BTreeMap<String, Duration>,
+    /// Controllers that shut down, by identity.
+    pub(super) departures: BTreeMap<String, Departure>,
     /// When this node became leader; none while it follows.
     pub(super) leading_since: Option<Duration>,
     /// Targets that gateways may send new requests to.
@@ -126,6 +129,7 @@
             peers: BTreeMap::new(),
             gateway_count: 1,
             member_first_seen: BTreeMap::new(),
+            departures: BTreeMap::new(),
             leading_since: None,
             targets: TargetLog::default(),
             closed: Vec::new(),
@@ -210,6 +214,7 @@
             return;
         }
         self.maintain_log_membership(now, out);
+        self.answer_departures(now, out);
         self.expire_peers(now);
         self.decide_quarantine(now, out);
         // At thousands of VMs one reconciliation takes milliseconds, so changes are gathered for longer.
@@ -243,6 +248,7 @@
                 self.admit_learner(now, &identity, out);
                 out.push(Action::Answer(ticket, Answer::Done));
             }
+            Call::Depart { identity } => self.record_departure(now, ticket, identity, out),
             Call::Adopt(document) => self.adopt_catalog(now, ticket, document, out),
             Call::SetZone { zone, out: is_out } => {
                 // A proposal that is still pending may change the zone.
@@ -433,6 +439,7 @@
             self.staging.clear();
             self.leave_orders_sent.clear();
             self.member_first_seen.clear();
+            self.departures.clear();
             self.peers.clear();
             self.gateway_count = 1;
             self.targets = TargetLog::new((self.node.term(), 0));
@@ -445,9 +452,11 @@
         if !leads && self.leading_since.is_some() {
             self.leading_since = None;
             self.own_proposals.clear();
+            let departures = std::mem::take(&mut self.departures).into_values();
             let tickets: Vec<Ticket> = std::mem::take(&mut self.waiting_callers)
                 .into_values()
                 .flatten()
+                .chain(departures.filter_map(|d| d.ticket))
                 .collect();
             // The next leader may or may not commit these proposals; callers can safely retry the call.
             out.extend(tickets.into_iter().map(|t| self.redirect(t)));
--- a/src/domain/fleet/log_membership.rs
+++ b/src/domain/fleet/log_membership.rs
@@ -3,16 +3,37 @@
 //! The identity of a controller is its address. A controller that starts with an empty disk, other
 //! than at the first installation, appends `~` and a nonce: it has lost its votes and log records, so
 //! it must not vote under the old identity.
+//!
+//! A learner beyond [`Timing::voters`] stands by for a voter that is about to be replaced. It takes the vote
+//! over when that voter says that it shuts down, or is silent for a short time.
+//!
+//! [`Timing::voters`]: super::Timing::voters
 
 use std::time::Duration;
 
 use super::core::Core;
 use super::event::Action;
+use super::event::Ticket;
 use crate::domain::consensus;
+use crate::domain::fleet::Answer;
 
 /// Silence after which a learner is removed from the log's membership.
 const LEARNER_SILENCE_LIMIT: Duration = Duration::from_secs(30);
 
+/// Silence after which a voter is replaced by a learner that stands by.
+const STANDBY_SILENCE_LIMIT: Duration = Duration::from_millis(500);
+/// Time after the notice of a shutdown from which a message of the controller shows that it has started
+/// again.
+const SHUTDOWN_TIME: Duration = Duration::from_secs(3);
+
+/// Notice of a controller that it shuts down.
+#[derive(Debug)]
+pub(super) struct Departure {
+    announced_at: Duration,
+    /// Caller that waits until the controller has no vote any more.
+    pub(super) ticket: Option<Ticket>,
+}
+
 /// Address part of a controller's identity, without the nonce.
 pub fn controller_address(identity: &str) -> &str {
     identity.split('~').next().unwrap_or(identity)
@@ -47,8 +68,17 @@
             self.member_first_seen.entry(id.clone()).or_insert(now);
         }
         let wanted = self.timing.voters;
-        let is_lost =
-            |id: &String| self.is_replaced(id) || self.silence_of(now, id) > self.voter_silence_limit();
+        let has_standby = voters.len() > wanted || self.standbys(now).next().is_some();
+        let silence_limit = if has_standby {
+            STANDBY_SILENCE_LIMIT.min(self.voter_silence_limit())
+        } else {
+            self.voter_silence_limit()
+        };
+        let is_lost = |id: &String| {
+            self.departures.contains_key(id)
+                || self.is_replaced(id)
+                || self.silence_of(now, id) > silence_limit
+        };
         let lost_voter = voters.iter().find(|v| is_lost(v));
         let mut payload = None;
         if let Some(voter) = lost_voter.filter(|_| voters.len() > wanted) {
@@ -56,12 +86,8 @@
         }
         if payload.is_none() && (voters.len() < wanted || lost_voter.is_some_and(|_| voters.len() == wanted))
         {
-            let eligible = learners
-                .iter()
-                .filter(|l| !self.is_replaced(l) && self.silence_of(now, l) < self.voter_silence_limit());
-            payload = eligible
-                .into_iter()
-                .find_map(|l| self.node.promote_learner_payload(l));
+            let mut standbys = self.standbys(now);
+            payload = standbys.find_map(|l| self.node.promote_learner_payload(&l));
         }
         if payload.is_none() {
             let lost_learner = learners
@@ -74,6 +100,66 @@
         }
     }
 
+    /// Learners that may become voters.
+    fn standbys(&self, now: Duration) -> impl Iterator<Item = String> + '_ {
+        let (_, learners) = self.node.journal().members();
+        learners.into_iter().filter(move |l| {
+            let is_connected = self.silence_of(now, l) < self.voter_silence_limit();
+            is_connected && !self.is_replaced(l) && !self.departures.contains_key(l)
+        })
+    }
+
+    /// Records that a controller shuts down. The caller is answered by [`Core::answer_departures`].
+    pub(super) fn record_departure(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        identity: String,
+        out: &mut Vec<Action>,
+    ) {
+        if identity == self.node.id() {
+            // Its leadership has to be transferred first, unless there is nobody else.
+            let is_alone = self.node.voters().len() == 1;
+            let answer = if is_alone {
+                Answer::Done
+            } else {
+                Answer::Redirect(None)
+            };
+            out.push(Action::Answer(ticket, answer));
+            return;
+        }
+        let departure = Departure {
+            announced_at: now,
+            ticket: Some(ticket),
+        };
+        let previous = self.departures.insert(identity, departure);
+        out.extend(previous.and_then(|p| p.ticket).map(|t| self.redirect(t)));
+    }
+
+    /// Answers the controllers that shut down and have no vote any more, or keep it because there is
+    /// nobody to take it over; forgets those that have started again.
+    pub(super) fn answer_departures(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.departures.is_empty() || !self.node.is_membership_committed() {
+            return;
+        }
+        let (voters, learners) = self.node.journal().members();
+        let has_standby = voters.len() > self.timing.voters || self.standbys(now).next().is_some();
+        let mut departures = std::mem::take(&mut self.departures);
+        departures.retain(|identity, departure| {
+            let is_voter = voters.contains(identity);
+            if !(is_voter && has_standby) {
+                let ticket = departure.ticket.take();
+                out.extend(ticket.map(|t| Action::Answer(t, Answer::Done)));
+            }
+            let has_returned = self
+                .node
+                .last_contact(identity)
+                .is_some_and(|at| at > departure.announced_at + SHUTDOWN_TIME);
+            (is_voter || learners.contains(identity)) && !has_returned
+        });
+        self.departures = departures;
+    }
+
     fn voter_silence_limit(&self) -> Duration {
         Duration::from_millis(self.timing.voter_lost_ms)
     }
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -9,6 +9,8 @@
 
 use error_stack::Report;
 use error_stack::ResultExt;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
 
 use super::Error;
 use super::Mailbox;
@@ -33,6 +35,8 @@
 use crate::adapters::quic::Credentials;
 use crate::adapters::quic::Pool;
 use crate::domain::consensus::Recovery;
+use crate::domain::fleet::Answer;
+use crate::domain::fleet::Call;
 use crate::domain::fleet::Controller;
 use crate::domain::fleet::Core;
 use crate::domain::fleet::Event;
@@ -45,12 +49,20 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time that the shutdown waits for another voter to take over leadership.
 const LEADERSHIP_TRANSFER_WAIT: Duration = Duration::from_millis(700);
+/// Longest time that the shutdown waits for another controller to take this one's vote over.
+const VOTE_HANDOVER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Delay before the leader is told again of the shutdown.
+const DEPARTURE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Delay before the creation of the data folder is retried after a failure.
 const FOLDER_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Running fleet daemon.
 pub struct Daemon {
     mailbox: Mailbox,
+    leader: Leader,
+    identity: String,
+    /// Task that joins the replicated log.
+    join_task: AbortHandle,
     _endpoint: quinn::Endpoint,
 }
 
@@ -130,8 +142,8 @@
             .await
             .change_context(Error::Listen)?;
     }
-    tokio::spawn(relay.run(leader));
-    tokio::spawn(join::ensure_joined(client, identity.clone(), status));
+    tokio::spawn(relay.run(leader.clone()));
+    let join_task = tokio::spawn(join::ensure_joined(client, identity.clone(), status));
     logging::PROCESS_STARTED.log_fields(&[
         ("program", "fleet".into()),
         ("controller", identity.as_str().into()),
@@ -139,17 +151,36 @@
     ]);
     Ok(Daemon {
         mailbox,
+        leader,
+        identity,
+        join_task: join_task.abort_handle(),
         _endpoint: endpoint,
     })
 }
 
 impl Daemon {
-    /// Transfers leadership to another voter if this controller leads, and waits for a fixed time.
+    /// Transfers leadership to another voter if this controller leads, and its vote to a learner that
+    /// stands by, if there is one.
     pub async fn stop(self) {
         logging::SHUTDOWN_STARTED.log_fields(&[("program", "fleet".into())]);
+        self.join_task.abort();
         self.mailbox.tell(Event::Shutdown);
-        tokio::time::sleep(LEADERSHIP_TRANSFER_WAIT).await;
-        logging::PROCESS_STOPPED.log_fields(&[("program", "fleet".into())]);
+        let handover = timeout(VOTE_HANDOVER_TIMEOUT, self.hand_over_vote());
+        let (handover, ()) = tokio::join!(handover, tokio::time::sleep(LEADERSHIP_TRANSFER_WAIT));
+        logging::PROCESS_STOPPED.log_fields(&[
+            ("program", "fleet".into()),
+            ("vote_settled", handover.is_ok().into()),
+        ]);
+    }
+
+    /// Tells the leader of the shutdown until it has settled what becomes of this controller's vote.
+    async fn hand_over_vote(&self) {
+        let call = Call::Depart {
+            identity: self.identity.clone(),
+        };
+        while !matches!(self.leader.ask(call.clone()).await, Some(Answer::Done)) {
+            tokio::time::sleep(DEPARTURE_RETRY_DELAY).await;
+        }
     }
 }
 
--- a/tests/voting/mod.rs
+++ b/tests/voting/mod.rs
@@ -25,6 +25,8 @@
 
 pub const SEED_VOTER_COUNT: usize = 3;
 pub const NODE_COUNT: usize = 5;
+/// Longest time that a shutdown takes.
+pub const STOP_MS: u64 = 2_000;
 /// Time after a restart for which a controller still counts as lost, so that it can catch up.
 pub const CATCH_UP_MS: u64 = 4_000;
 
@@ -48,6 +50,8 @@
     pub lost_until: u64,
     /// Time until which it exchanges no messages with other controllers; operators still reach it.
     pub cut_until: u64,
+    /// Whether it has received the order to shut down, until it has ended.
+    pub is_stopping: bool,
     pub checks_without_leader: u32,
     /// Node, modulo the number of nodes, that is asked next to let this one join.
     pub join_target: usize,
@@ -83,6 +87,8 @@
     Read(u64),
     /// Node that asks to join.
     Join(usize),
+    /// Node that tells that it shuts down.
+    Depart(usize),
 }
 
 pub fn address(index: usize) -> String {
@@ -100,23 +106,34 @@
     }
 }
 
-impl Simulation {
-    pub fn new(seed: u64) -> Self {
-        let nodes = (0..NODE_COUNT).map(|index| Node {
+impl Node {
+    pub fn new(index: usize) -> Self {
+        Node {
             address: address(index),
             disk: Disk::default(),
             core: None,
             starts_at: 0,
             lost_until: 0,
             cut_until: 0,
+            is_stopping: false,
             checks_without_leader: 0,
             join_target: index,
-        });
+        }
+    }
+
+    /// Whether it has ended and does not start again.
+    pub fn has_ended(&self) -> bool {
+        self.core.is_none() && self.starts_at == u64::MAX
+    }
+}
+
+impl Simulation {
+    pub fn new(seed: u64) -> Self {
         let mut simulation = Simulation {
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: 0,
             step_ms: 20,
-            nodes: nodes.collect(),
+            nodes: (0..NODE_COUNT).map(Node::new).collect(),
             messages_in_flight: Vec::new(),
             max_delay_steps: 2,
             pending_calls: BTreeMap::new(),
@@ -227,6 +244,7 @@
                 let found = self.nodes.iter().position(|n| n.address == leader);
                 self.nodes[joiner].join_target = found.unwrap_or(0);
             }
+            (PendingCall::Depart(node), Answer::Done) => self.end(node),
             (PendingCall::Join(joiner), Answer::Redirect(None)) => self.nodes[joiner].join_target += 1,
             _ => {}
         }
@@ -241,7 +259,7 @@
 
     pub fn advance(&mut self) {
         self.now += self.step_ms;
-        for index in 0..NODE_COUNT {
+        for index in 0..self.nodes.len() {
             if self.nodes[index].core.is_none() && self.nodes[index].starts_at <= self.now {
                 self.start(index, false);
             }
@@ -259,10 +277,11 @@
                 self.step(index, Event::Consensus { from, message });
             }
         }
-        for index in 0..NODE_COUNT {
+        for index in 0..self.nodes.len() {
             self.step(index, Event::Tick);
             self.request_join_if_needed(index);
         }
+        self.announce_departures();
         self.trace_membership();
         if self.now.is_multiple_of(300) {
             self.send_operator_call();
@@ -284,7 +303,7 @@
 
     /// Asks to join in the same cases as the daemon's `fleet::join`, with half as many checks a second.
     pub fn request_join_if_needed(&mut self, index: usize) {
-        if !self.now.is_multiple_of(300) {
+        if !self.now.is_multiple_of(300) || self.nodes[index].is_stopping {
             return;
         }
         let Some(core) = self.nodes[index].core.as_ref() else {
@@ -300,7 +319,7 @@
         if is_member && self.nodes[index].checks_without_leader < 4 {
             return;
         }
-        let join_target = self.nodes[index].join_target % NODE_COUNT;
+        let join_target = self.nodes[index].join_target % self.nodes.len();
         if self.nodes[join_target].core.is_none() || self.is_cut(index) || self.is_cut(join_target) {
             self.nodes[index].join_target += 1;
             return;
@@ -335,7 +354,7 @@
 
     pub fn send_operator_call(&mut self) {
         let leader = self.leader();
-        let any = self.rng.random_range(0..NODE_COUNT);
+        let any = self.rng.random_range(0..self.nodes.len());
         let index = leader.filter(|_| self.rng.random_bool(0.7)).unwrap_or(any);
         if self.rng.random_bool(0.5) {
             self.submit(index);
@@ -348,13 +367,67 @@
     pub fn submit_to_all_nodes(&mut self) {
         self.last_submitted += 1;
         let version = self.last_submitted;
-        for index in 0..NODE_COUNT {
+        for index in 0..self.nodes.len() {
             let document = Document::new(&version.to_string(), &catalog(version));
             let call = Call::Adopt(Box::new(document));
             self.call(index, PendingCall::Adopt(version), call);
         }
     }
 
+    /// Starts a further node, at a new address and with an empty disk.
+    pub fn add_node(&mut self) {
+        let index = self.nodes.len();
+        self.trace.push(format!("{} node {index} added", self.now));
+        let mut node = Node::new(index);
+        node.lost_until = self.now + CATCH_UP_MS;
+        self.nodes.push(node);
+        self.start(index, false);
+    }
+
+    /// Orders a node to shut down for good. It ends by itself.
+    pub fn stop(&mut self, index: usize) {
+        self.trace.push(format!("{} node {index} stops", self.now));
+        self.nodes[index].is_stopping = true;
+        self.nodes[index].lost_until = self.now + STOP_MS;
+        self.step(index, Event::Shutdown);
+    }
+
+    /// Ends a node for good.
+    pub fn end(&mut self, index: usize) {
+        if self.nodes[index].has_ended() {
+            return;
+        }
+        self.trace.push(format!("{} node {index} ends", self.now));
+        self.power_off(index, 0, false);
+        self.nodes[index].starts_at = u64::MAX;
+        self.nodes[index].lost_until = 0;
+    }
+
+    /// Does what the daemon does while it shuts down: it tells the leader until that agrees, or the time is up.
+    pub fn announce_departures(&mut self) {
+        for index in 0..self.nodes.len() {
+            let node = &self.nodes[index];
+            let Some(core) = node.core.as_ref().filter(|_| node.is_stopping) else {
+                continue;
+            };
+            if node.lost_until <= self.now {
+                self.end(index);
+                continue;
+            }
+            if !self.now.is_multiple_of(60) {
+                continue;
+            }
+            let identity = core.node().id().to_owned();
+            let leader = core.node().leader().map(str::to_owned);
+            let known =
+                |n: &Node| leader.is_some() && n.core.as_ref().map(|c| c.node().id()) == leader.as_deref();
+            if let Some(leader) = self.nodes.iter().position(known) {
+                let pending = PendingCall::Depart(index);
+                self.call(leader, pending, Call::Depart { identity });
+            }
+        }
+    }
+
     /// Number of nodes that are off or have not had time to catch up.
     pub fn lost_nodes(&self) -> usize {
         self.nodes.iter().filter(|n| n.lost_until > self.now).count()
@@ -411,13 +484,16 @@
                 self.trace.push(line);
             }
         }
-        let is_counted = |i: &usize| self.nodes[*i].lost_until <= self.now;
-        let counted: Vec<usize> = (0..NODE_COUNT).filter(is_counted).collect();
+        let is_counted = |i: &usize| self.nodes[*i].lost_until <= self.now && !self.nodes[*i].has_ended();
+        let counted: Vec<usize> = (0..self.nodes.len()).filter(is_counted).collect();
         let first = self.rng.random_range(0..counted.len());
         let second = (first + self.rng.random_range(1..counted.len())) % counted.len();
         let wiped_count = 2_usize.saturating_sub(self.lost_nodes());
         let wiped = &[counted[first], counted[second]][..wiped_count];
-        for index in 0..NODE_COUNT {
+        for index in (0..self.nodes.len())
+            .filter(|i| !self.nodes[*i].has_ended())
+            .collect::<Vec<_>>()
+        {
             self.power_off(index, 1_000, wiped.contains(&index));
         }
     }
