gateway: believe a refusal only if it belongs to the request

Cause: the mark of a refusal was taken from any answer, and such a status from any upstream. A refusal now has to name the request, or to come on a connection of its own; without the mark the outcome is unknown (502).

--- a/src/adapters/http1/client.rs
+++ b/src/adapters/http1/client.rs
@@ -90,6 +90,15 @@
     io_task: AbortHandle,
     /// Whether further requests may use the connection.
     is_reusable: bool,
+    /// Whether an earlier request has used the connection.
+    is_reused: bool,
+}
+
+impl Connection {
+    /// Whether an earlier request has used the connection, so that what arrives on it may be left over.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
 }
 
 impl Drop for Connection {
@@ -247,7 +256,8 @@
     /// Keeps a connection for further requests, once the response on it was read to its end.
     ///
     /// Closes it instead when the upstream has enough idle connections.
-    pub fn return_connection(&self, connection: Connection) {
+    pub fn return_connection(&self, mut connection: Connection) {
+        connection.is_reused = true;
         if !connection.is_reusable || connection.sender.is_closed() {
             return;
         }
@@ -294,6 +304,7 @@
         sender,
         io_task: io_task.abort_handle(),
         is_reusable,
+        is_reused: false,
     })
 }
 
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -12,6 +12,7 @@
 use super::send::Classification;
 use super::send::Send;
 use super::send::classify;
+use super::send::is_promise;
 use crate::adapters::clock;
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Connection;
@@ -66,7 +67,7 @@
         send: Send,
     ) -> Delivery {
         send.record_notice(self.request, &response);
-        match classify(self.request, &response) {
+        match classify(self.request, &response, &connection) {
             Classification::NotRun(outcome) => {
                 self.end_failed(send, outcome, "refused by the target");
                 return Delivery::NotRun;
@@ -120,6 +121,11 @@
             .first_answer
             .with_label_values(&labels)
             .observe(took_s);
+        if is_promise(head.status) && !self.request.is_repeatable() {
+            // Without the mark of a refusal, the target may have run the request.
+            self.end_failed(send, Outcome::Answered, "a status that promises too much");
+            return Delivery::Unknown(None);
+        }
         let mut response = Response::from_parts(head, Body::whole(body));
         evidence::record_answer(&send, self.request, &response);
         strip_hop_by_hop(response.headers_mut());
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -184,7 +184,7 @@
             }
         };
         send.record_notice(&self.request, &response);
-        match classify(&self.request, &response) {
+        match classify(&self.request, &response, &connection) {
             Classification::NotRun(outcome) => {
                 self.runs -= 1;
                 self.unexecuted += 1;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -15,6 +15,7 @@
 use super::dial::Tunnel;
 use super::request::Request;
 use crate::adapters::clock;
+use crate::adapters::http1::Connection;
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Target;
 use crate::domain::gateway::Notice;
@@ -159,30 +160,56 @@
 pub(super) enum Classification {
     /// The target did not execute the request.
     NotRun(Outcome),
-    /// The answer belongs to another request, or is a success without the upstream's signature.
+    /// The answer belongs to another request, may do so, or is a success without the upstream's signature.
     Foreign,
     /// The answer belongs to the request.
     Own,
 }
 
 /// Classifies an answer by its head, before any of it is passed on.
-pub(super) fn classify<B>(request: &Request, response: &Response<B>) -> Classification {
+///
+/// A target may write an earlier answer again. A refusal is believed only if it names the request, or names
+/// none on a connection that no earlier request has used.
+pub(super) fn classify<B>(
+    request: &Request,
+    response: &Response<B>,
+    connection: &Connection,
+) -> Classification {
     let headers = response.headers();
-    if response.status() == StatusCode::MISDIRECTED_REQUEST {
-        return Classification::NotRun(Outcome::Misdirected);
+    let echoed_id = headers.get(platform_header::ATTEMPT_ID);
+    if echoed_id.is_some_and(|v| v.as_bytes() != request.id.as_bytes()) {
+        return Classification::Foreign;
     }
-    if headers.contains_key(platform_header::NOT_RUN) {
-        return Classification::NotRun(Outcome::Refused);
+    let refusal = if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        Some(Outcome::Misdirected)
+    } else {
+        let is_refused = headers.contains_key(platform_header::NOT_RUN);
+        is_refused.then_some(Outcome::Refused)
+    };
+    if let Some(outcome) = refusal {
+        if echoed_id.is_none() && connection.is_reused() {
+            return Classification::Foreign;
+        }
+        return Classification::NotRun(outcome);
     }
-    let echoed_id = headers.get(platform_header::ATTEMPT_ID);
-    let has_own_id = echoed_id.is_none_or(|v| v.as_bytes() == request.id.as_bytes());
     let is_signed = headers.contains_key(platform_header::SIGNATURE);
-    if !has_own_id || (response.status().is_success() && !is_signed) {
+    if response.status().is_success() && !is_signed {
         return Classification::Foreign;
     }
     Classification::Own
 }
 
+/// Whether callers take a status for the promise that the request has not run.
+pub(super) fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// What the target of an answer says of itself.
 pub(super) fn notice<B>(response: &Response<B>) -> Notice {
     let headers = response.headers();
--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -149,6 +149,7 @@
         resumable,
         route("stream", "streaming"),
         route("lookup", "idempotent"),
+        route("once", "non_idempotent"),
     ]);
     document.to_string()
 }
