engines: a new connection for each generation

A model engine that writes an earlier refusal again on a kept connection had the next generation count as not run, and run again elsewhere: its refusals carry no identifier. tests/engine_refusals.rs (new) failed before (Refused(503)).

--- a/src/adapters/upstream/generate.rs
+++ b/src/adapters/upstream/generate.rs
@@ -82,7 +82,8 @@
             ("x-resume", prompt.resume.to_string()),
         ],
         body: prompt.body,
-        is_sent_once: false,
+        // On a connection that was used before, an engine may repeat the refusal of an earlier generation.
+        is_sent_once: true,
     };
     let response = client.send(call, prompt.stall_timeout).await?;
     let status = response.status().as_u16();
