gateway: a continuation has to be of the stream's kind, and its events need identifiers

Shown by tests/continuations.rs: a stream had broken off, and a further upstream answered with status 200 and another content type, none, another status or an encoding, or with an event without an identifier. Errors with another status, and bodies shorter than their length, left the stream broken off before as well; the tests for these passed at once. A continuation now needs the status, media type and encoding of the stream's first answer, and events with identifiers if all before had one. Refused continuations are logged.

--- a/src/domain/gateway/events.rs
+++ b/src/domain/gateway/events.rs
@@ -15,6 +15,14 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Whether the event says something without an identifier; comments need none.
+    pub fn lacks_id(&self) -> bool {
+        let is_field = |line: &[u8]| !matches!(line.first(), None | Some(b':' | b'\r'));
+        self.id.is_none() && self.bytes.split(|b| *b == b'\n').any(is_field)
+    }
+}
+
 /// Splits a byte stream into complete events and holds back an incomplete one.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -5,6 +5,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_ENCODING;
+use http::header::CONTENT_TYPE;
 use tokio::time::timeout;
 
 use super::context::Context;
@@ -44,9 +49,37 @@
     pub(super) events: u64,
     /// Identifier of the last one.
     pub(super) last_event_id: Option<u64>,
+    /// Whether some of them had no identifier.
+    pub(super) has_unidentified: bool,
+}
+
+/// What all runs of a stream have in common.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Kind {
+    status: StatusCode,
+    media_type: Option<String>,
+    encoding: Option<HeaderValue>,
+}
+
+impl Kind {
+    fn of<B>(response: &Response<B>) -> Self {
+        let headers = response.headers();
+        let content_type = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+        let media_type = content_type.and_then(|v| v.split(';').next());
+        Kind {
+            status: response.status(),
+            media_type: media_type.map(|v| v.trim().to_ascii_lowercase()),
+            encoding: headers.get(CONTENT_ENCODING).cloned(),
+        }
+    }
 }
 
 impl Position {
+    /// Whether `event` cannot belong to the rest of this stream, whose events all have identifiers.
+    pub(super) fn excludes(&self, event: &Event) -> bool {
+        self.events > 0 && !self.has_unidentified && event.lacks_id()
+    }
+
     /// Whether `event` was passed on already; a run that continues a stream may repeat events.
     pub(super) fn includes(&self, event: &Event) -> bool {
         event
@@ -60,6 +93,7 @@
     context: Arc<Context>,
     request: Arc<Request>,
     service: Service,
+    kind: Kind,
     /// Identifiers of the targets of the first run and of each send since.
     tried: Vec<String>,
     /// Sends that a target may have executed.
@@ -69,19 +103,20 @@
 }
 
 impl Search {
-    /// Search after `runs` sends, of which the last one, to `target`, has led to the stream.
-    pub(super) fn new(
-        context: &Arc<Context>,
+    /// Search after `runs` sends, of which `send` is the last one and has led to the stream `response`.
+    pub(super) fn new<B>(
         request: &Arc<Request>,
         service: Service,
-        target: &str,
         runs: u32,
+        response: &Response<B>,
+        send: &Send,
     ) -> Self {
         Search {
-            context: context.clone(),
+            context: send.context.clone(),
             request: request.clone(),
             service,
-            tried: vec![target.to_owned()],
+            kind: Kind::of(response),
+            tried: vec![send.target.id.clone()],
             runs,
             unexecuted: 0,
         }
@@ -191,11 +226,17 @@
                 send.end(outcome);
                 Ok(None)
             }
-            Classification::Own if response.status().is_success() => {
+            Classification::Own if Kind::of(&response) == self.kind => {
                 let run = Run::new(&self.request, response, connection, send, position);
                 Ok(Some(run))
             }
             Classification::Own | Classification::Foreign => {
+                logging::SEND_FAILED.log_fields(&[
+                    ("request", self.request.id.as_str().into()),
+                    ("target", send.target.id.as_str().into()),
+                    ("reason", "the answer does not continue the stream".into()),
+                    ("status", u64::from(response.status().as_u16()).into()),
+                ]);
                 send.end(Outcome::Failed);
                 Ok(None)
             }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -55,6 +55,7 @@
     connection: Connection,
     send: Send,
 ) -> Response<Body> {
+    let search = Search::new(&request, service, runs, &response, &send);
     let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let mut answer = Response::new(Body::Stream(receiver));
     *answer.status_mut() = response.status();
@@ -63,7 +64,7 @@
     // The length that the first run announced may not hold for a resumed stream.
     answer.headers_mut().remove(http::header::CONTENT_LENGTH);
     let relay = Relay {
-        search: Search::new(&send.context, &request, service, &send.target.id, runs),
+        search,
         request,
         sender,
         position: Position::default(),
@@ -263,6 +264,7 @@
                 continue;
             }
             position.last_event_id = event.id.or(position.last_event_id);
+            position.has_unidentified |= event.lacks_id();
             position.events += 1;
             chunk.extend_from_slice(&event.bytes);
         }
--- a/src/gateway/stream_run.rs
+++ b/src/gateway/stream_run.rs
@@ -119,6 +119,9 @@
             let is_oversized = self.splitter.is_oversized();
             return is_oversized.then_some(Progress::Ended(End::Broken("event too large")));
         }
+        if events.iter().any(|event| self.start.excludes(event)) {
+            return Some(Progress::Ended(End::Broken("event of another stream")));
+        }
         self.send.record_heard();
         let is_first = !self.is_streaming;
         self.is_streaming = true;
--- a/tests/continuations.rs
+++ b/tests/continuations.rs
@@ -23,11 +23,12 @@
 const LAST_CHUNK: &str = "\r\n0\r\n\r\n";
 
 /// Answers a request with four events and a part of the fifth, and a request to go on with `continuation`,
-/// which gets the head of a signed answer.
+/// which gets the head of a signed answer with the content type of the stream.
 fn broken_stream(head: &str, continuation: impl Fn(&str) -> String) -> Vec<Step> {
+    let stream_head = format!("{}content-type: text/event-stream\r\n", answer_head(head));
     let text = match header(head, "last-event-id") {
-        None => format!("{}\r\n{}id: 5\nda", answer_head(head), event_text(1, 4)),
-        Some(_) => continuation(&answer_head(head)),
+        None => format!("{stream_head}\r\n{}id: 5\nda", event_text(1, 4)),
+        Some(_) => continuation(&stream_head),
     };
     vec![Step::Send(text), Step::Close]
 }
@@ -89,3 +90,57 @@
     })
     .await;
 }
+
+/// What an upstream that fails may answer instead of the rest of the stream.
+const ERROR_TEXT: &str = "{\"error\":\"out of memory\"}\n\n";
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_error_in_place_of_a_continuation_does_not_reach_the_caller() {
+    for (number, status) in [
+        (215, "500 Internal Server Error"),
+        (216, "503 Service Unavailable"),
+        (217, "404 Not Found"),
+    ] {
+        let error = move |head: &str| {
+            let head = head.replace("200 OK", status);
+            format!("{head}content-length: {}\r\n\r\n{ERROR_TEXT}", ERROR_TEXT.len())
+        };
+        assert_broken_off(number, error).await;
+    }
+}
+
+/// Guards against an answer of another kind that becomes part of the stream because it has status 200.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_continuation_of_another_kind_does_not_reach_the_caller() {
+    for (number, from, to) in [
+        (218, "text/event-stream", "application/json"),
+        (219, "content-type: text/event-stream\r\n", ""),
+        (220, "200 OK", "203 Non-Authoritative Information"),
+        (228, "content-type", "content-encoding: gzip\r\ncontent-type"),
+    ] {
+        let answer = move |head: &str| format!("{}\r\n{ERROR_TEXT}", head.replace(from, to));
+        assert_broken_off(number, answer).await;
+    }
+}
+
+/// The events of a stream have identifiers, so what has none is not a part of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_event_without_identifier_in_a_continuation_does_not_reach_the_caller() {
+    assert_broken_off(229, |head| format!("{head}\r\n{ERROR_TEXT}")).await;
+}
+
+/// A length that is larger than the body.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_continuation_that_is_shorter_than_its_length_does_not_complete_a_stream() {
+    assert_broken_off(230, |head| format!("{head}content-length: 500\r\n\r\nid: 5\nda")).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_continuation_with_the_remaining_events_completes_a_stream() {
+    let rest = |head: &str| format!("{head}\r\n:\n\n{}", event_text(5, 10));
+    let script = move |head: &str| broken_stream(head, rest);
+    let (site, _upstreams) = site_with_raw_upstreams(231, script).await;
+    let answer = read_raw(&site, "/resumable/1").await;
+    assert!(answer.ends_with(LAST_CHUNK), "{answer}");
+    assert_eq!(answer.matches("data: piece ").count(), 10, "{answer}");
+}
