fleet: an odd entry of another writer costs itself only

Fields are now checked where they are decoded. Within an incarnation a VM keeps service, address, zone and domain; an entry of an unknown service displaces no VM in use; relays keep incarnations apart; the leader counts what it ignores. Not covered: an entry that is sound in itself and claims a later start of a known VM.

--- a/src/domain/fleet/announcement.rs
+++ b/src/domain/fleet/announcement.rs
@@ -65,15 +65,20 @@
 }
 
 impl Announcement {
+    /// Whether two heartbeats agree on what a VM does not change within an incarnation.
+    pub fn has_place_of(&self, other: &Announcement) -> bool {
+        self.service == other.service
+            && self.address == other.address
+            && self.zone == other.zone
+            && self.domain == other.domain
+    }
+
     /// Whether two heartbeats differ at most in the sequence number and the remaining time of the cold
     /// start. The start or end of a cold start counts as a difference.
     pub fn has_content_of(&self, other: &Announcement) -> bool {
         self.id == other.id
             && self.incarnation == other.incarnation
-            && self.service == other.service
-            && self.address == other.address
-            && self.zone == other.zone
-            && self.domain == other.domain
+            && self.has_place_of(other)
             && self.slots == other.slots
             && self.draining == other.draining
             && (self.cold_ms == 0) == (other.cold_ms == 0)
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -180,6 +180,11 @@
         &self.state
     }
 
+    /// Number of heartbeats that this leader has ignored because they contradict others.
+    pub fn conflicting_heartbeats(&self) -> u64 {
+        self.registry.conflicts()
+    }
+
     /// Targets that gateways may send new requests to.
     pub fn targets(&self) -> Vec<Target> {
         self.targets.targets().cloned().collect()
--- a/src/domain/fleet/digests.rs
+++ b/src/domain/fleet/digests.rs
@@ -131,6 +131,10 @@
     /// Records a heartbeat that a controller received `age` ago.
     pub(super) fn record_heartbeat(&mut self, now: Duration, age: Duration, announcement: Announcement) {
         let id = announcement.id.clone();
+        if self.is_stranger(&announcement) {
+            self.registry.record_conflict();
+            return;
+        }
         // After an unchanged heartbeat there is nothing to do before the next tick.
         if !self.registry.record_heartbeat(now, age, announcement) {
             return;
@@ -143,6 +147,17 @@
         }
     }
 
+    /// Whether a heartbeat is of a service that the catalog does not have, and would take the place of a VM
+    /// of one that it has.
+    fn is_stranger(&self, announcement: &Announcement) -> bool {
+        let is_known = |service: &str| {
+            let mut services = self.state.catalog.iter().flat_map(|c| &c.services);
+            services.any(|s| s.name == service)
+        };
+        let mut displaced = self.registry.displaced_by(announcement);
+        !is_known(&announcement.service) && displaced.any(|vm| is_known(&vm.announcement.service))
+    }
+
     /// Answers digests whose sender has outdated data or whose deadline has passed.
     pub(super) fn answer_polls(&mut self, now: Duration, out: &mut Vec<Action>) {
         if self.polls.is_empty() {
--- a/src/domain/fleet/heartbeats.rs
+++ b/src/domain/fleet/heartbeats.rs
@@ -50,7 +50,7 @@
         let Some(vm) = self.vms.get_mut(&announcement.id) else {
             return Handling::Forward;
         };
-        let is_renewal = vm.announcement.sequence + 1 == announcement.sequence
+        let is_renewal = vm.announcement.sequence.checked_add(1) == Some(announcement.sequence)
             && !announcement.draining
             && vm.announcement.has_content_of(announcement);
         if !is_renewal {
--- a/src/domain/fleet/registry.rs
+++ b/src/domain/fleet/registry.rs
@@ -6,6 +6,8 @@
 
 use super::Announcement;
 
+/// Largest number of VMs; heartbeats of further ones are ignored.
+const MAX_VMS: usize = 65_536;
 /// Largest number of tombstones; VMs that leave beyond it get none.
 const MAX_TOMBSTONES: usize = 4_096;
 
@@ -39,6 +41,8 @@
     tombstones: BTreeMap<String, u64>,
     /// When a VM was last added.
     last_arrival: Duration,
+    /// Number of heartbeats that were ignored because they contradict others.
+    conflicts: u64,
 }
 
 impl Registry {
@@ -46,7 +50,8 @@
     /// more than the sequence number and the remaining time of the cold start.
     ///
     /// Ignored are heartbeats of an older incarnation, those out of order, and those for an address
-    /// that a VM with a newer incarnation holds. `age` is the time since a controller received the
+    /// that a VM with a newer incarnation holds. Those of another writer are ignored, too: a VM changes
+    /// neither its service nor its place within an incarnation. `age` is the time since a controller received the
     /// heartbeat.
     pub fn record_heartbeat(&mut self, now: Duration, age: Duration, announcement: Announcement) -> bool {
         let heard_at = now.saturating_sub(age);
@@ -59,6 +64,15 @@
             if (announcement.incarnation, announcement.sequence) <= latest {
                 return false;
             }
+            if announcement.incarnation == known.announcement.incarnation
+                && !announcement.has_place_of(&known.announcement)
+            {
+                self.conflicts += 1;
+                return false;
+            }
+        } else if self.vms.len() >= MAX_VMS {
+            self.conflicts += 1;
+            return false;
         }
         let holder = self.holders.get(&announcement.address);
         if let Some(other) = holder.filter(|id| **id != announcement.id)
@@ -137,6 +151,25 @@
         self.last_arrival
     }
 
+    /// Number of heartbeats that were ignored because they contradict others, or there are too many VMs.
+    pub fn conflicts(&self) -> u64 {
+        self.conflicts
+    }
+
+    /// VMs whose place a heartbeat would take: the one with its identifier, and the holder of its address.
+    pub(super) fn displaced_by<'a>(&'a self, announcement: &'a Announcement) -> impl Iterator<Item = &'a Vm> {
+        let holder = self.holders.get(&announcement.address);
+        [Some(&announcement.id), holder]
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.vms.get(id))
+    }
+
+    /// Counts a heartbeat that was ignored because it contradicts others.
+    pub(super) fn record_conflict(&mut self) {
+        self.conflicts += 1;
+    }
+
     /// Number of known VMs, including those that are gone.
     pub fn len(&self) -> usize {
         self.vms.len()
--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -113,7 +113,9 @@
     pub(super) gateways: BTreeMap<String, Gateway>,
     /// Requests in progress from all gateways with a valid report, by target.
     running: BTreeMap<String, u32>,
-    vms: BTreeMap<String, Vm>,
+    /// VMs by identifier and incarnation, since another writer's entry must not hide those of the VM itself;
+    /// the leader decides which one holds.
+    vms: BTreeMap<(String, u64), Vm>,
     pub(super) held: Option<Held>,
     /// Targets as of the leader's last overview.
     pub(super) targets: TargetLog,
@@ -175,7 +177,7 @@
                     subtract(&mut self.running, &gateway.report.running);
                 }
             }
-            Input::Departure(id) => drop(self.vms.remove(&id)),
+            Input::Departure(id) => self.vms.retain(|(known, _), _| *known != id),
             Input::Overview(asked_at, overview) => self.receive_overview(now, asked_at, *overview),
             Input::DigestLost => {
                 self.in_flight.clear();
@@ -315,16 +317,18 @@
     }
 
     fn receive_heartbeat(&mut self, now: Duration, announcement: Announcement) {
-        let id = announcement.id.clone();
-        let previous = self.vms.get(&id);
-        let latest = previous.map(|p| (p.announcement.incarnation, p.announcement.sequence));
-        if latest.is_some_and(|latest| (announcement.incarnation, announcement.sequence) <= latest) {
+        let key = (announcement.id.clone(), announcement.incarnation);
+        let previous = self.vms.get(&key);
+        let is_ignored = previous.is_some_and(|p| {
+            announcement.sequence <= p.announcement.sequence || !announcement.has_place_of(&p.announcement)
+        });
+        if is_ignored {
             return;
         }
         // A gap may hide a heartbeat with other content that reached the leader through another relay.
         let is_renewal = previous.is_some_and(|p| {
             p.pending != Pending::Content
-                && p.announcement.sequence + 1 == announcement.sequence
+                && p.announcement.sequence.checked_add(1) == Some(announcement.sequence)
                 && p.announcement.has_content_of(&announcement)
         });
         let pending = if is_renewal {
@@ -337,17 +341,17 @@
             heard_at: now,
             pending,
         };
-        self.vms.insert(id, vm);
+        self.vms.insert(key, vm);
     }
 
     /// Records that a VM has sent a further heartbeat to a gateway whose earlier ones, with the same
     /// content, this relay has acknowledged.
     fn receive_renewal(&mut self, now: Duration, renewal: &Renewal) {
-        let Some(vm) = self.vms.get_mut(&renewal.id) else {
+        let Some(vm) = self.vms.get_mut(&(renewal.id.clone(), renewal.incarnation)) else {
             return;
         };
         let announcement = &mut vm.announcement;
-        if announcement.incarnation != renewal.incarnation || renewal.sequence <= announcement.sequence {
+        if renewal.sequence <= announcement.sequence {
             return;
         }
         announcement.sequence = renewal.sequence;
@@ -359,10 +363,10 @@
 
     fn receive_overview(&mut self, now: Duration, asked_at: Duration, mut overview: Overview) {
         for (id, incarnation, sequence) in std::mem::take(&mut self.in_flight) {
-            let Some(vm) = self.vms.get_mut(&id) else {
+            let Some(vm) = self.vms.get_mut(&(id, incarnation)) else {
                 continue;
             };
-            if (vm.announcement.incarnation, vm.announcement.sequence) == (incarnation, sequence) {
+            if vm.announcement.sequence == sequence {
                 vm.pending = Pending::Nothing;
             }
         }
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -20,6 +20,7 @@
     targets: IntGauge,
     voters: IntGauge,
     zones_out: IntGauge,
+    conflicting_heartbeats: IntGauge,
     pub(super) write_failures: IntCounter,
     pub(super) groups_opened: IntCounter,
     pub(super) groups_lost: IntCounterVec,
@@ -40,6 +41,10 @@
             targets: gauge("targets", "Targets that gateways are told"),
             voters: gauge("voters", "Voters of the replicated log"),
             zones_out: gauge("zones_out", "Availability zones out of service"),
+            conflicting_heartbeats: gauge(
+                "conflicting_heartbeats",
+                "Heartbeats that this leader has ignored because they contradict others",
+            ),
             write_failures: counter("write_failures_total", "Writes to the data folder that failed"),
             groups_opened: counter("groups_opened_total", "Groups whose head took requests"),
             groups_lost: counters("groups_lost_total", "Groups that were closed", "loss"),
@@ -57,6 +62,8 @@
         self.targets.set(core.targets().len() as i64);
         self.voters.set(core.node().voters().len() as i64);
         self.zones_out.set(core.state().zones_out.len() as i64);
+        self.conflicting_heartbeats
+            .set(core.conflicting_heartbeats() as i64);
     }
 
     /// All metrics in the text format of Prometheus.
--- a/src/platform/heartbeat.rs
+++ b/src/platform/heartbeat.rs
@@ -1,4 +1,9 @@
 //! Decodes the heartbeats of upstreams and encodes the answers to them.
+//!
+//! Whoever reaches the port can write a heartbeat, so each field is checked against what an upstream can mean:
+//! later readers sum numbers up, and pass all heartbeats on in frames of limited size.
+
+use std::net::SocketAddr;
 
 use serde::Deserialize;
 
@@ -6,6 +11,21 @@
 use crate::domain::fleet::Membership;
 use crate::domain::fleet::Stage;
 
+/// Longest identifier of an upstream, and name of anything, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+/// Largest number of models on a host.
+const MAX_STAGED_MODELS: usize = 256;
+/// Largest number of slots of an upstream; the sum over 65,536 upstreams fits 32 bits.
+const MAX_SLOTS: u32 = 65_535;
+/// Longest cold start, in milliseconds.
+const MAX_COLD_MS: f64 = 3_600_000.0;
+/// Latest start of an upstream, in Unix milliseconds: the year 2100.
+const MAX_BORN_MS: u64 = 4_102_444_800_000;
+/// Largest integer that every JSON reader keeps exact.
+const MAX_SEQUENCE: u64 = 1 << 53;
+/// Longest reason of a refusal, in characters.
+const MAX_REASON_CHARS: usize = 200;
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Heartbeat {
@@ -44,6 +64,14 @@
 ///
 /// Path and reason of the first field that cannot be decoded.
 pub fn decode(id: &str, body: &[u8]) -> Result<Announcement, String> {
+    decode_checked(id, body).map_err(|reason| reason.chars().take(MAX_REASON_CHARS).collect())
+}
+
+fn decode_checked(id: &str, body: &[u8]) -> Result<Announcement, String> {
+    // The identifier becomes a header value.
+    if !id.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err("id: not visible ASCII".to_owned());
+    }
     let mut deserializer = serde_json::Deserializer::from_slice(body);
     let heartbeat: Heartbeat = serde_path_to_error::deserialize(&mut deserializer)
         .map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
@@ -52,10 +80,18 @@
         "draining" => true,
         other => return Err(format!("phase: no phase {other}")),
     };
-    if heartbeat.address.parse::<std::net::SocketAddr>().is_err() {
-        return Err("address: not an address".to_owned());
-    }
-    Ok(Announcement {
+    check_address(&heartbeat.address)?;
+    check_number("slots", heartbeat.slots <= MAX_SLOTS)?;
+    check_number("sequence", heartbeat.sequence <= MAX_SEQUENCE)?;
+    check_number("born", heartbeat.born.is_none_or(|b| b <= MAX_BORN_MS))?;
+    let cold_range = 0.0..=MAX_COLD_MS;
+    check_number(
+        "cold-remaining-ms",
+        cold_range.contains(&heartbeat.cold_remaining_ms),
+    )?;
+    let staged = heartbeat.preloaded.unwrap_or_default();
+    check_number("preloaded", staged.len() <= MAX_STAGED_MODELS)?;
+    let announcement = Announcement {
         id: id.to_owned(),
         incarnation: heartbeat.born.unwrap_or(0),
         sequence: heartbeat.sequence,
@@ -65,10 +101,49 @@
         domain: heartbeat.domain.map(name_of).unwrap_or_default(),
         slots: heartbeat.slots,
         draining,
-        cold_ms: heartbeat.cold_remaining_ms.max(0.0) as u64,
-        staged: names_of(heartbeat.preloaded),
+        cold_ms: heartbeat.cold_remaining_ms as u64,
+        staged: staged.into_iter().map(name_of).collect(),
         membership: heartbeat.group.map(convert_membership).transpose()?,
-    })
+    };
+    check_names(&announcement)?;
+    Ok(announcement)
+}
+
+fn check_address(text: &str) -> Result<(), String> {
+    let address: SocketAddr = text.parse().map_err(|_| "address: not an address".to_owned())?;
+    let ip = address.ip();
+    if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+        return Err("address: no request can be sent there".to_owned());
+    }
+    Ok(())
+}
+
+fn check_number(field: &str, is_in_range: bool) -> Result<(), String> {
+    if is_in_range {
+        return Ok(());
+    }
+    Err(format!("{field}: out of range"))
+}
+
+fn check_names(announcement: &Announcement) -> Result<(), String> {
+    let group = announcement.membership.as_ref().map(|m| m.group.as_str());
+    let optional = [
+        ("domain", announcement.domain.as_str()),
+        ("group.name", group.unwrap_or_default()),
+    ];
+    let required = [
+        ("id", announcement.id.as_str()),
+        ("service", announcement.service.as_str()),
+        ("zone", announcement.zone.as_str()),
+    ];
+    let staged = announcement.staged.iter().map(|m| ("preloaded", m.as_str()));
+    for (field, name) in staged.chain(optional).chain(required) {
+        check_number(field, name.len() <= MAX_NAME_BYTES)?;
+    }
+    for (field, name) in required {
+        check_number(field, !name.is_empty())?;
+    }
+    Ok(())
 }
 
 /// Encodes the answer to a heartbeat; the upstream sends later heartbeats to `address`.
@@ -93,10 +168,6 @@
     })
 }
 
-fn names_of(values: Option<Vec<serde_json::Value>>) -> Vec<String> {
-    values.unwrap_or_default().into_iter().map(name_of).collect()
-}
-
 /// Name given by a string, a number or the field `name` of an object.
 fn name_of(value: serde_json::Value) -> String {
     match value {
--- a/tests/paused/mod.rs
+++ b/tests/paused/mod.rs
@@ -198,7 +198,7 @@
         }
     }
 
-    fn call(&mut self, call: Call) {
+    pub fn call(&mut self, call: Call) {
         self.step(Event::Call { ticket: 1, call });
     }
 
