fleet: departures of VMs are kept in the replicated state

The record that unlists a VM now names the incarnation that has left, callers are answered when it is applied, and a new leader takes no heartbeat of it. The field is ignored by earlier builds.

--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -278,11 +278,7 @@
                     out.push(Action::Answer(ticket, Answer::Done));
                 }
             }
-            Call::Leave { id } => {
-                self.registry.mark_gone(&id);
-                self.reconcile(now, out);
-                self.answer_when_applied(ticket, out);
-            }
+            Call::Leave { id } => self.record_leave(now, ticket, id, out),
             Call::Digest(digest) => self.receive_digest(now, ticket, *digest),
             // The relay answers these.
             Call::Report(_) | Call::Withdraw { .. } | Call::Permit { .. } => out.push(self.redirect(ticket)),
@@ -298,6 +294,54 @@
         Answer::Catalog(document.map(|d| d.raw.clone()))
     }
 
+    /// Closes a VM's group or unlists it, for this leader and the next ones.
+    ///
+    /// A leader that does not know the VM does not acknowledge while heartbeats from before its leadership
+    /// may still name it.
+    fn record_leave(&mut self, now: Duration, ticket: Ticket, id: String, out: &mut Vec<Action>) {
+        let Some(incarnation) = self.incarnation_of(&id) else {
+            let is_discovering = self
+                .leading_since
+                .is_some_and(|since| now < since + self.timing.leader_discovery_time());
+            let answer = if is_discovering {
+                Answer::Redirect(None)
+            } else {
+                Answer::Done
+            };
+            out.push(Action::Answer(ticket, answer));
+            return;
+        };
+        self.registry.mark_gone(&id);
+        self.reconcile(now, out);
+        let has_departed = self
+            .state
+            .departed
+            .get(&id)
+            .is_some_and(|(i, _)| *i >= incarnation);
+        if has_departed && !self.state.listed.contains_key(&id) {
+            self.answer_when_applied(ticket, out);
+            return;
+        }
+        let left = Some(incarnation);
+        self.propose(now, Some(ticket), Command::Unlist { id, left }, out);
+    }
+
+    /// Latest known incarnation of a VM.
+    fn incarnation_of(&self, id: &str) -> Option<u64> {
+        let heard = self.registry.get(id).map(|vm| vm.announcement.incarnation);
+        let listed = self.state.listed.get(id).map(|target| target.incarnation);
+        let group = self.state.group_of(id);
+        let members = group.iter().flat_map(|g| &g.members);
+        let grouped = members.filter(|m| m.id == id).map(|m| m.incarnation);
+        let departed = self.state.departed.get(id).map(|(incarnation, _)| *incarnation);
+        heard
+            .into_iter()
+            .chain(listed)
+            .chain(departed)
+            .chain(grouped)
+            .max()
+    }
+
     /// Answers once this leader's last own proposal is applied, or immediately when none is pending.
     ///
     /// The answer tells a VM that it may stop, so the proposal that closes its group or unlists it
@@ -401,6 +445,12 @@
                 self.urgent_changes += 1;
             }
             let leads = self.leading_since.is_some();
+            // The leader may have been elected before it has applied this.
+            if let Command::Unlist { id, left: Some(left) } = &command
+                && leads
+            {
+                self.registry.record_departure(id, *left);
+            }
             let is_quarantine = matches!(command, Command::Quarantine { .. } | Command::Release { .. });
             let previous = (leads && is_quarantine).then(|| self.state.quarantined.clone());
             self.state.apply(record.index, &command);
@@ -439,7 +489,9 @@
         let leads = self.node.role() == Role::Leader;
         if leads && self.leading_since.is_none() {
             self.leading_since = Some(now);
-            self.registry = Registry::default();
+            let departed = self.state.departed.iter();
+            self.registry =
+                Registry::with_departed(departed.map(|(id, (incarnation, _))| (id, *incarnation)));
             self.lifecycles.clear();
             self.staging.clear();
             self.leave_orders_sent.clear();
--- a/src/domain/fleet/reconciliation.rs
+++ b/src/domain/fleet/reconciliation.rs
@@ -141,6 +141,7 @@
                 if listed.is_some() {
                     commands.push(Command::Unlist {
                         id: announcement.id.clone(),
+                        left: None,
                     });
                 }
                 continue;
@@ -167,7 +168,10 @@
             // A VM that is unknown now has been silent for the retention time.
             let is_known = |id: &String| self.registry.get(id).is_some();
             let unknown = self.state.listed.keys().filter(|id| !is_known(id));
-            commands.extend(unknown.map(|id| Command::Unlist { id: id.clone() }));
+            commands.extend(unknown.map(|id| Command::Unlist {
+                id: id.clone(),
+                left: None,
+            }));
         }
         for command in commands {
             self.propose(now, None, command, out);
--- a/src/domain/fleet/registry.rs
+++ b/src/domain/fleet/registry.rs
@@ -46,6 +46,15 @@
 }
 
 impl Registry {
+    /// Empty registry that takes no heartbeat of these VMs' incarnations.
+    pub fn with_departed<'a>(departed: impl Iterator<Item = (&'a String, u64)>) -> Self {
+        let departed = departed.map(|(id, incarnation)| (id.clone(), incarnation));
+        Registry {
+            tombstones: departed.collect(),
+            ..Registry::default()
+        }
+    }
+
     /// Records a heartbeat; returns whether it is the first of its VM or differs from the last one in
     /// more than the sequence number and the remaining time of the cold start.
     ///
@@ -132,6 +141,16 @@
         self.release_address(&address, id);
     }
 
+    /// Records that an incarnation of a VM has shut down, as another leader may have acknowledged.
+    pub fn record_departure(&mut self, id: &str, incarnation: u64) {
+        let latest = self.vms.get(id).map(|vm| vm.announcement.incarnation);
+        if latest.is_some_and(|latest| latest <= incarnation) {
+            self.mark_gone(id);
+        }
+        let known = self.tombstones.entry(id.to_owned()).or_default();
+        *known = incarnation.max(*known);
+    }
+
     /// Forgets that the VM `id` holds `address`, if it does.
     fn release_address(&mut self, address: &str, id: &str) {
         if self.holders.get(address).is_some_and(|holder| holder == id) {
--- a/src/domain/fleet/state.rs
+++ b/src/domain/fleet/state.rs
@@ -13,6 +13,8 @@
 
 /// Prompt parts in quarantine; the oldest is released for a further one.
 const MAX_QUARANTINED: usize = 64;
+/// VMs that have shut down; the oldest is forgotten for a further one.
+const MAX_DEPARTED: usize = 1_024;
 
 /// One version of the catalog, as the operator's text and as JSON.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -113,6 +115,9 @@
     Unlist {
         /// Identifier of the VM.
         id: String,
+        /// Incarnation, if the VM has shut down; it may be of any service then. Earlier versions ignore it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        left: Option<u64>,
     },
     /// Dissolve a group whose head accepts no more requests.
     Dissolve {
@@ -164,6 +169,10 @@
     /// none.
     #[serde(default)]
     pub quarantined: BTreeMap<String, u64>,
+    /// Incarnation of VMs that have shut down, with the log index of the record; earlier versions' snapshots
+    /// have none.
+    #[serde(default)]
+    pub departed: BTreeMap<String, (u64, u64)>,
     /// Epoch of the group of each member, by VM; rebuilt after a restore instead of stored.
     #[serde(skip)]
     epochs_by_vm: HashMap<String, u64>,
@@ -219,10 +228,14 @@
                 }
             }
             Command::List(target) => {
+                self.departed.remove(&target.id);
                 self.listed.insert(target.id.clone(), (**target).clone());
             }
-            Command::Unlist { id } => {
+            Command::Unlist { id, left } => {
                 self.listed.remove(id);
+                if let Some(incarnation) = left {
+                    self.record_departure(index, id, *incarnation);
+                }
             }
             Command::Dissolve { epoch } => {
                 let dissolved = self.groups.remove(epoch);
@@ -257,6 +270,16 @@
         self.catalog = decoded.map(|d| d.expect("a controller checked the document before it was logged"));
     }
 
+    fn record_departure(&mut self, index: u64, id: &str, incarnation: u64) {
+        self.departed.insert(id.to_owned(), (incarnation, index));
+        if self.departed.len() > MAX_DEPARTED {
+            let oldest = self.departed.iter().min_by_key(|(_, (_, index))| *index);
+            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+                self.departed.remove(&oldest);
+            }
+        }
+    }
+
     fn quarantine(&mut self, index: u64, part: &str) {
         self.quarantined.entry(part.to_owned()).or_insert(index);
         if self.quarantined.len() > MAX_QUARANTINED {
--- a/tests/controllers/mod.rs
+++ b/tests/controllers/mod.rs
@@ -1,4 +1,5 @@
 //! Fleet controllers with relays and gateways, without a network: messages arrive at once.
+#![allow(dead_code)]
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use heatherramp::domain::consensus::Recovery;
 use heatherramp::domain::consensus::Snapshot;
 use heatherramp::domain::fleet::Action;
+use heatherramp::domain::fleet::Announcement;
 use heatherramp::domain::fleet::Answer;
 use heatherramp::domain::fleet::Call;
 use heatherramp::domain::fleet::Controller;
@@ -55,6 +57,8 @@
     /// Number of records with a command about the quarantine that leaders have written.
     pub proposals: usize,
     pub snapshots: Vec<Snapshot>,
+    /// Tickets of calls that were answered with `Done`.
+    pub done: Vec<u64>,
 }
 
 pub fn core(name: &str, voters: &[&str], snapshot: Option<Snapshot>, now: u64) -> Core {
@@ -97,6 +101,7 @@
             telemetry: Vec::new(),
             proposals: 0,
             snapshots: Vec::new(),
+            done: Vec::new(),
         };
         fleet.advance_until(|fleet| fleet.leader().is_some());
         fleet
@@ -132,6 +137,7 @@
                     let answers = self.relays[relay].step(now, Input::Overview(asked_at, overview));
                     self.answer_gateway(relay, answers);
                 }
+                Action::Answer(ticket, Answer::Done) => self.done.push(ticket),
                 Action::Telemetry(Telemetry::Quarantined { part, targets }) => {
                     self.telemetry.push((part, targets));
                 }
@@ -183,6 +189,12 @@
         }
     }
 
+    /// A VM sends a heartbeat to a controller.
+    pub fn announce(&mut self, index: usize, announcement: Announcement) {
+        let now = ms(self.now);
+        self.relays[index].step(now, Input::Heartbeat(2, Box::new(announcement)));
+    }
+
     fn answer_gateway(&mut self, index: usize, answers: Vec<(u64, Answer)>) {
         for (_, answer) in answers {
             if let Answer::Overview(overview) = answer {
