--- a/src/adapters/http1/body.rs
+++ b/src/adapters/http1/body.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use hyper::body::Frame;
@@ -29,13 +30,25 @@
     }
 }
 
+/// Part of a streamed body.
+#[derive(Clone, Debug)]
+pub enum Part {
+    /// Bytes to send.
+    Chunk(Bytes),
+    /// The body is complete.
+    End,
+}
+
 /// Body of a response.
 #[derive(Debug)]
 pub enum Body {
     /// All bytes at once; `None` after they are sent.
     Whole(Option<Bytes>),
-    /// Chunks, each sent as soon as it is received; an error closes the connection.
-    Stream(mpsc::Receiver<Result<Bytes, Abort>>),
+    /// Chunks, each sent as soon as it is received. If the producer goes away before the end, for whatever
+    /// reason, the connection is closed.
+    Stream(mpsc::Receiver<Part>),
+    /// Stream whose producer has gone away before the end.
+    Aborted,
 }
 
 impl Body {
@@ -53,14 +66,26 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Abort>>> {
-        match &mut *self {
+        let parts = match &mut *self {
             Body::Whole(bytes) => {
                 let bytes = bytes.take().filter(|b| !b.is_empty());
-                Poll::Ready(bytes.map(|b| Ok(Frame::data(b))))
+                return Poll::Ready(bytes.map(|b| Ok(Frame::data(b))));
+            }
+            Body::Stream(parts) => parts,
+            Body::Aborted => return Poll::Ready(Some(Err(Abort))),
+        };
+        match ready!(parts.poll_recv(cx)) {
+            Some(Part::Chunk(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Some(Part::End) => {
+                *self = Body::Whole(None);
+                Poll::Ready(None)
+            }
+            None => {
+                // The chunks so far are sent while the body is pending, and would be dropped by an error.
+                *self = Body::Aborted;
+                cx.waker().wake_by_ref();
+                Poll::Pending
             }
-            Body::Stream(chunks) => chunks
-                .poll_recv(cx)
-                .map(|chunk| chunk.map(|bytes| bytes.map(Frame::data))),
         }
     }
 
@@ -71,7 +96,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Body::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
-            Body::Stream(_) => SizeHint::default(),
+            Body::Stream(_) | Body::Aborted => SizeHint::default(),
         }
     }
 }
--- a/src/adapters/http1/mod.rs
+++ b/src/adapters/http1/mod.rs
@@ -12,6 +12,7 @@
 
 pub use body::Abort;
 pub use body::Body;
+pub use body::Part;
 pub use client::Cause;
 pub use client::Client;
 pub use client::Connection;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -27,9 +27,9 @@
 use super::stream_run::Progress;
 use super::stream_run::Run;
 use crate::adapters::clock;
-use crate::adapters::http1::Abort;
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Connection;
+use crate::adapters::http1::Part;
 use crate::domain::catalog::Service;
 use crate::domain::gateway::Event;
 use crate::domain::gateway::Outcome;
@@ -78,7 +78,7 @@
 /// Task that relays one stream, over several runs if it is resumed.
 struct Relay {
     request: Arc<Request>,
-    sender: mpsc::Sender<Result<Bytes, Abort>>,
+    sender: mpsc::Sender<Part>,
     search: Search,
     position: Position,
     /// Time from the request to its first event, in milliseconds.
@@ -108,11 +108,16 @@
             };
             self.log_run_end(&run, end);
             match end {
-                End::Complete => return run.complete(),
+                End::Complete => {
+                    run.complete();
+                    // Sending fails when the caller has left.
+                    let _ = self.sender.send(Part::End).await;
+                    return;
+                }
                 End::CallerLeft => return run.abandon(early_outcome),
                 End::Deadline => {
                     run.abandon(early_outcome);
-                    return self.abort_answer("deadline").await;
+                    return self.log_abort("deadline");
                 }
                 End::Broken(_) => run.abandon(Outcome::Failed),
             }
@@ -122,7 +127,7 @@
             };
             match next {
                 Ok(next) => run = next,
-                Err(reason) => return self.abort_answer(reason).await,
+                Err(reason) => return self.log_abort(reason),
             }
         }
     }
@@ -268,7 +273,7 @@
             position.events += 1;
             chunk.extend_from_slice(&event.bytes);
         }
-        chunk.is_empty() || self.sender.send(Ok(chunk.into())).await.is_ok()
+        chunk.is_empty() || self.sender.send(Part::Chunk(chunk.into())).await.is_ok()
     }
 
     /// Passes on what follows the last event of a complete run, such as blank lines.
@@ -277,7 +282,11 @@
         if remainder.is_empty() {
             return End::Complete;
         }
-        match self.sender.send(Ok(Bytes::copy_from_slice(remainder))).await {
+        match self
+            .sender
+            .send(Part::Chunk(Bytes::copy_from_slice(remainder)))
+            .await
+        {
             Ok(()) => End::Complete,
             Err(_) => End::CallerLeft,
         }
@@ -293,8 +302,8 @@
         gap_limit
     }
 
-    /// Ends the answer with an error, so that the caller does not take it for complete.
-    async fn abort_answer(&self, reason: &str) {
+    /// Logs that the answer ends here. Without [`Part::End`] the caller does not take it for complete.
+    fn log_abort(&self, reason: &str) {
         logging::STREAM_ABORTED.log_fields(&[
             ("request", self.request.id.as_str().into()),
             ("route", self.request.route.name.as_str().into()),
@@ -304,8 +313,6 @@
             ("version", self.request.catalog.version().into()),
             ("after_ms", elapsed_ms(&self.request).into()),
         ]);
-        // Sending fails when the caller has left.
-        let _ = self.sender.send(Err(Abort)).await;
     }
 
     /// Logs how one run ended.
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -8,7 +8,6 @@
 use heatherramp::domain::fleet::Call;
 use heatherramp::domain::fleet::Controller;
 use heatherramp::domain::fleet::Input;
-use heatherramp::domain::fleet::Overview;
 use heatherramp::domain::fleet::Registry;
 use heatherramp::domain::fleet::Relay;
 use heatherramp::domain::fleet::Renewal;
@@ -182,10 +181,10 @@
 fn heartbeats_of_a_vm_reach_the_leader_beside_an_odd_entry_with_its_identifier() {
     let mut relay = Relay::new(Controller::default(), Timing::default());
     let now = |step: u64| Duration::from_millis(100 * step);
-    relay.step(now(1), Input::Overview(now(1), Box::new(Overview::default())));
+    relay.step(now(1), Input::Overview(now(1), Box::default()));
     relay.step(now(2), Input::Heartbeat(1, Box::new(announcement("a", 1, 1))));
     let _ = relay.digest(now(2));
-    relay.step(now(3), Input::Overview(now(2), Box::new(Overview::default())));
+    relay.step(now(3), Input::Overview(now(2), Box::default()));
     for odd in [(9, 1_000), (1, 1_000)] {
         let odd = Announcement {
             zone: "other".to_owned(),
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use heatherramp::adapters::http1;
 use heatherramp::adapters::http1::Body;
+use heatherramp::adapters::http1::Part;
 use heatherramp::adapters::http1::Server;
 use http::Request;
 use http::Response;
@@ -57,8 +58,9 @@
         tokio::spawn(async move {
             for text in ["one ", "two"] {
                 sleep(HEAD_TIMEOUT * 3).await;
-                let _ = sender.send(Ok(Bytes::from(text))).await;
+                let _ = sender.send(Part::Chunk(Bytes::from(text))).await;
             }
+            let _ = sender.send(Part::End).await;
         });
         Response::new(Body::Stream(receiver))
     })
@@ -73,7 +75,7 @@
     let server = serve(|_| async {
         let (sender, receiver) = mpsc::channel(1);
         tokio::spawn(async move {
-            let _ = sender.send(Ok(Bytes::from("a part"))).await;
+            let _ = sender.send(Part::Chunk(Bytes::from("a part"))).await;
             panic!("of the producer, by the test");
         });
         Response::new(Body::Stream(receiver))
--- a/tests/site/vm.rs
+++ b/tests/site/vm.rs
@@ -6,9 +6,9 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use bytes::Bytes;
 use heatherramp::adapters::http1;
 use heatherramp::adapters::http1::Body;
+use heatherramp::adapters::http1::Part;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -183,15 +183,15 @@
         tokio::spawn(async move {
             for event in first_event..=10 {
                 if cut_after.is_some_and(|last| event > last) {
-                    // Send part of an event, then break the connection.
-                    let _ = sender.send(Ok(Bytes::from(format!("id: {event}\nda")))).await;
-                    let _ = sender.send(Err(http1::Abort)).await;
+                    // Sends a part of an event, then breaks the connection.
+                    let _ = sender.send(Part::Chunk(format!("id: {event}\nda").into())).await;
                     return;
                 }
                 let text = format!("id: {event}\ndata: piece {event}\n\n");
-                let _ = sender.send(Ok(Bytes::from(text))).await;
+                let _ = sender.send(Part::Chunk(text.into())).await;
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
+            let _ = sender.send(Part::End).await;
         });
         Response::new(Body::Stream(receiver))
     } else {
