--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -113,6 +113,15 @@
 impl Site {
     /// Starts three controllers and a gateway; `number` gives each test addresses of its own.
     pub fn start(number: u8) -> Site {
+        Site::start_with(
+            number,
+            env!("CARGO_BIN_EXE_heatherramp-fleet"),
+            env!("CARGO_BIN_EXE_heatherramp-gateway"),
+        )
+    }
+
+    /// Starts three controllers and a gateway as these programs.
+    pub fn start_with(number: u8, fleet: &str, gateway_program: &str) -> Site {
         let folder =
             std::env::temp_dir().join(format!("heatherramp-gateway-{}-{number}", std::process::id()));
         quic::make_keys(&folder.join("keys")).unwrap();
@@ -131,13 +140,9 @@
         };
         for index in 0..3 {
             let settings = site.fleet_settings(index, peer_port);
-            site.spawn(
-                &format!("fleet{index}"),
-                env!("CARGO_BIN_EXE_heatherramp-fleet"),
-                &settings,
-            );
+            site.spawn(&format!("fleet{index}"), fleet, &settings);
         }
-        site.spawn_gateway("g1", gateway, status);
+        site.spawn_gateway("g1", gateway_program, gateway, status);
         site
     }
 
@@ -145,7 +150,8 @@
     pub fn add_gateway(&mut self, name: &str) -> SocketAddr {
         let ip = self.gateway.ip();
         let gateway = SocketAddr::new(ip, free_port(ip));
-        self.spawn_gateway(name, gateway, SocketAddr::new(ip, free_port(ip)));
+        let program = env!("CARGO_BIN_EXE_heatherramp-gateway");
+        self.spawn_gateway(name, program, gateway, SocketAddr::new(ip, free_port(ip)));
         gateway
     }
 
@@ -153,16 +159,23 @@
         self.peer_port
     }
 
-    fn spawn_gateway(&mut self, name: &str, listen: SocketAddr, status: SocketAddr) {
+    fn spawn_gateway(&mut self, name: &str, program: &str, listen: SocketAddr, status: SocketAddr) {
         let settings = json!({
             "name": name, "availability_zone": "z1", "listen": listen, "listen_status": status,
             "seeds": self.controllers, "peer_port": self.peer_port, "keys": self.keys(), "grace_s": 4.0,
         });
-        self.spawn(
-            &format!("gateway-{name}"),
-            env!("CARGO_BIN_EXE_heatherramp-gateway"),
-            &settings,
-        );
+        self.spawn(&format!("gateway-{name}"), program, &settings);
+    }
+
+    /// Kills a process and starts it again as `program`, with its settings and data.
+    pub fn replace(&mut self, name: &str, program: &str) {
+        let position = self.processes.iter().position(|(n, _)| n == name).unwrap();
+        let (_, mut child) = self.processes.remove(position);
+        child.kill().unwrap();
+        child.wait().unwrap();
+        let text = std::fs::read_to_string(self.folder.join(format!("{name}.json"))).unwrap();
+        let settings: Value = serde_json::from_str(&text).unwrap();
+        self.spawn(name, program, &settings);
     }
 
     pub fn keys(&self) -> Value {
