--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -22,7 +22,7 @@
 use super::event::Ticket;
 use super::lifecycle::Lifecycle;
 use super::log_membership;
-use super::log_membership::Departure;
+use super::log_membership::Notice;
 use super::quarantine::Quarantine;
 use crate::domain::consensus;
 use crate::domain::consensus::Node;
@@ -69,8 +69,8 @@
     pub(super) gateway_count: usize,
     /// When this leader first found each member in the log's membership, by identity.
     pub(super) member_first_seen: BTreeMap<String, Duration>,
-    /// Controllers that shut down, by identity.
-    pub(super) departures: BTreeMap<String, Departure>,
+    /// Notices of controllers that shut down, by identity.
+    pub(super) shutdown_notices: BTreeMap<String, Notice>,
     /// When this node became leader; none while it follows.
     pub(super) leading_since: Option<Duration>,
     /// Targets that gateways may send new requests to.
@@ -85,7 +85,7 @@
     /// Evidence against prompt parts.
     pub(super) quarantine: Quarantine,
     /// Callers that wait for a proposal to be applied, by the log index and term of its record.
-    waiting_callers: BTreeMap<(u64, u64), Vec<Ticket>>,
+    pub(super) waiting_callers: BTreeMap<(u64, u64), Vec<Ticket>>,
     /// Log indices of this leader's own proposals, without a caller, that are not applied yet.
     pub(super) own_proposals: VecDeque<u64>,
     /// Helpers among the gateways of all controllers.
@@ -129,7 +129,7 @@
             peers: BTreeMap::new(),
             gateway_count: 1,
             member_first_seen: BTreeMap::new(),
-            departures: BTreeMap::new(),
+            shutdown_notices: BTreeMap::new(),
             leading_since: None,
             targets: TargetLog::default(),
             closed: Vec::new(),
@@ -219,7 +219,7 @@
             return;
         }
         self.maintain_log_membership(now, out);
-        self.answer_departures(now, out);
+        self.answer_shutdown_notices(now, out);
         self.expire_peers(now);
         self.decide_quarantine(now, out);
         // At thousands of VMs one reconciliation takes milliseconds, so changes are gathered for longer.
@@ -253,7 +253,7 @@
                 self.admit_learner(now, &identity, out);
                 out.push(Action::Answer(ticket, Answer::Done));
             }
-            Call::Depart { identity } => self.record_departure(now, ticket, identity, out),
+            Call::Depart { identity } => self.record_shutdown_notice(now, ticket, identity, out),
             Call::Adopt(document) => self.adopt_catalog(now, ticket, document, out),
             Call::SetZone { zone, out: is_out } => {
                 // A proposal that is still pending may change the zone.
@@ -294,65 +294,6 @@
         Answer::Catalog(document.map(|d| d.raw.clone()))
     }
 
-    /// Closes a VM's group or unlists it, for this leader and the next ones.
-    ///
-    /// A leader that does not know the VM does not acknowledge while heartbeats from before its leadership
-    /// may still name it.
-    fn record_leave(&mut self, now: Duration, ticket: Ticket, id: String, out: &mut Vec<Action>) {
-        let Some(incarnation) = self.incarnation_of(&id) else {
-            let is_discovering = self
-                .leading_since
-                .is_some_and(|since| now < since + self.timing.leader_discovery_time());
-            let answer = if is_discovering {
-                Answer::Redirect(None)
-            } else {
-                Answer::Done
-            };
-            out.push(Action::Answer(ticket, answer));
-            return;
-        };
-        self.registry.mark_gone(&id);
-        self.reconcile(now, out);
-        let has_departed = self
-            .state
-            .departed
-            .get(&id)
-            .is_some_and(|(i, _)| *i >= incarnation);
-        if has_departed && !self.state.listed.contains_key(&id) {
-            self.answer_when_applied(ticket, out);
-            return;
-        }
-        let left = Some(incarnation);
-        self.propose(now, Some(ticket), Command::Unlist { id, left }, out);
-    }
-
-    /// Latest known incarnation of a VM.
-    fn incarnation_of(&self, id: &str) -> Option<u64> {
-        let heard = self.registry.get(id).map(|vm| vm.announcement.incarnation);
-        let listed = self.state.listed.get(id).map(|target| target.incarnation);
-        let group = self.state.group_of(id);
-        let members = group.iter().flat_map(|g| &g.members);
-        let grouped = members.filter(|m| m.id == id).map(|m| m.incarnation);
-        let departed = self.state.departed.get(id).map(|(incarnation, _)| *incarnation);
-        heard
-            .into_iter()
-            .chain(listed)
-            .chain(departed)
-            .chain(grouped)
-            .max()
-    }
-
-    /// Answers once this leader's last own proposal is applied, or immediately when none is pending.
-    ///
-    /// The answer tells a VM that it may stop, so the proposal that closes its group or unlists it
-    /// has to be committed: otherwise the next leader would name the VM as a target.
-    fn answer_when_applied(&mut self, ticket: Ticket, out: &mut Vec<Action>) {
-        match self.own_proposals.back() {
-            Some(index) => self.wait_for(*index, ticket),
-            None => out.push(Action::Answer(ticket, Answer::Done)),
-        }
-    }
-
     fn adopt_catalog(
         &mut self,
         now: Duration,
@@ -412,12 +353,6 @@
         self.step_consensus(now, consensus::Event::Propose(vec![payload]), out);
     }
 
-    /// Answers a caller once this leader's record at `index` is applied.
-    fn wait_for(&mut self, index: u64, ticket: Ticket) {
-        let record = (index, self.node.term());
-        self.waiting_callers.entry(record).or_default().push(ticket);
-    }
-
     /// Passes an event to the consensus node, and applies what it commits.
     pub(super) fn step_consensus(&mut self, now: Duration, event: consensus::Event, out: &mut Vec<Action>) {
         let actions = self.node.step(now, event);
@@ -468,21 +403,6 @@
         self.answer_waiting_callers(record, out);
     }
 
-    /// Answers the callers whose proposal is `record`, and redirects those whose proposal another leader's
-    /// record has replaced: the step that applies it may also be the one that ends the leadership.
-    fn answer_waiting_callers(&mut self, record: &consensus::Record, out: &mut Vec<Action>) {
-        let later = self.waiting_callers.split_off(&(record.index + 1, 0));
-        for ((index, term), tickets) in std::mem::replace(&mut self.waiting_callers, later) {
-            let is_applied = (index, term) == (record.index, record.term);
-            for ticket in tickets {
-                out.push(match is_applied {
-                    true => Action::Answer(ticket, Answer::Done),
-                    false => self.redirect(ticket),
-                });
-            }
-        }
-    }
-
     /// On becoming leader, clears what only a leader keeps, since data of an earlier leadership is
     /// outdated. On losing leadership, redirects the callers that wait for proposals.
     fn update_leadership(&mut self, now: Duration, out: &mut Vec<Action>) {
@@ -496,7 +416,7 @@
             self.staging.clear();
             self.leave_orders_sent.clear();
             self.member_first_seen.clear();
-            self.departures.clear();
+            self.shutdown_notices.clear();
             self.peers.clear();
             self.gateway_count = 1;
             self.targets = TargetLog::new((self.node.term(), 0));
@@ -509,11 +429,11 @@
         if !leads && self.leading_since.is_some() {
             self.leading_since = None;
             self.own_proposals.clear();
-            let departures = std::mem::take(&mut self.departures).into_values();
+            let notices = std::mem::take(&mut self.shutdown_notices).into_values();
             let tickets: Vec<Ticket> = std::mem::take(&mut self.waiting_callers)
                 .into_values()
                 .flatten()
-                .chain(departures.filter_map(|d| d.ticket))
+                .chain(notices.filter_map(|n| n.ticket))
                 .collect();
             // The next leader may or may not commit these proposals; callers can safely retry the call.
             out.extend(tickets.into_iter().map(|t| self.redirect(t)));
--- /dev/null
+++ b/src/domain/fleet/leave.rs
@@ -0,0 +1,59 @@
+//! VMs that shut down, as the leader records them for itself and the leaders after it.
+
+use std::time::Duration;
+
+use super::Answer;
+use super::Command;
+use super::core::Core;
+use super::event::Action;
+use super::event::Ticket;
+
+impl Core {
+    /// Closes a VM's group or unlists it, for this leader and the next ones.
+    ///
+    /// A leader that does not know the VM does not acknowledge while heartbeats from before its leadership
+    /// may still name it.
+    pub(super) fn record_leave(&mut self, now: Duration, ticket: Ticket, id: String, out: &mut Vec<Action>) {
+        let Some(incarnation) = self.incarnation_of(&id) else {
+            let is_discovering = self
+                .leading_since
+                .is_some_and(|since| now < since + self.timing.leader_discovery_time());
+            let answer = if is_discovering {
+                Answer::Redirect(None)
+            } else {
+                Answer::Done
+            };
+            out.push(Action::Answer(ticket, answer));
+            return;
+        };
+        self.registry.mark_gone(&id);
+        self.reconcile(now, out);
+        let has_departed = self
+            .state
+            .departed
+            .get(&id)
+            .is_some_and(|(i, _)| *i >= incarnation);
+        if has_departed && !self.state.listed.contains_key(&id) {
+            self.answer_when_applied(ticket, out);
+            return;
+        }
+        let left = Some(incarnation);
+        self.propose(now, Some(ticket), Command::Unlist { id, left }, out);
+    }
+
+    /// Latest known incarnation of a VM.
+    fn incarnation_of(&self, id: &str) -> Option<u64> {
+        let heard = self.registry.get(id).map(|vm| vm.announcement.incarnation);
+        let listed = self.state.listed.get(id).map(|target| target.incarnation);
+        let group = self.state.group_of(id);
+        let members = group.iter().flat_map(|g| &g.members);
+        let grouped = members.filter(|m| m.id == id).map(|m| m.incarnation);
+        let departed = self.state.departed.get(id).map(|(incarnation, _)| *incarnation);
+        heard
+            .into_iter()
+            .chain(listed)
+            .chain(departed)
+            .chain(grouped)
+            .max()
+    }
+}
--- a/src/domain/fleet/log_membership.rs
+++ b/src/domain/fleet/log_membership.rs
@@ -28,7 +28,7 @@
 
 /// Notice of a controller that it shuts down.
 #[derive(Debug)]
-pub(super) struct Departure {
+pub(super) struct Notice {
     announced_at: Duration,
     /// Caller that waits until the controller has no vote any more.
     pub(super) ticket: Option<Ticket>,
@@ -75,7 +75,7 @@
             self.voter_silence_limit()
         };
         let is_lost = |id: &String| {
-            self.departures.contains_key(id)
+            self.shutdown_notices.contains_key(id)
                 || self.is_replaced(id)
                 || self.silence_of(now, id) > silence_limit
         };
@@ -105,12 +105,12 @@
         let (_, learners) = self.node.journal().members();
         learners.into_iter().filter(move |l| {
             let is_connected = self.silence_of(now, l) < self.voter_silence_limit();
-            is_connected && !self.is_replaced(l) && !self.departures.contains_key(l)
+            is_connected && !self.is_replaced(l) && !self.shutdown_notices.contains_key(l)
         })
     }
 
-    /// Records that a controller shuts down. The caller is answered by [`Core::answer_departures`].
-    pub(super) fn record_departure(
+    /// Records that a controller shuts down. The caller is answered by [`Core::answer_shutdown_notices`].
+    pub(super) fn record_shutdown_notice(
         &mut self,
         now: Duration,
         ticket: Ticket,
@@ -128,36 +128,36 @@
             out.push(Action::Answer(ticket, answer));
             return;
         }
-        let departure = Departure {
+        let notice = Notice {
             announced_at: now,
             ticket: Some(ticket),
         };
-        let previous = self.departures.insert(identity, departure);
+        let previous = self.shutdown_notices.insert(identity, notice);
         out.extend(previous.and_then(|p| p.ticket).map(|t| self.redirect(t)));
     }
 
     /// Answers the controllers that shut down and have no vote any more, or keep it because there is
     /// nobody to take it over; forgets those that have started again.
-    pub(super) fn answer_departures(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.departures.is_empty() || !self.node.is_membership_committed() {
+    pub(super) fn answer_shutdown_notices(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.shutdown_notices.is_empty() || !self.node.is_membership_committed() {
             return;
         }
         let (voters, learners) = self.node.journal().members();
         let has_standby = voters.len() > self.timing.voters || self.standbys(now).next().is_some();
-        let mut departures = std::mem::take(&mut self.departures);
-        departures.retain(|identity, departure| {
+        let mut notices = std::mem::take(&mut self.shutdown_notices);
+        notices.retain(|identity, notice| {
             let is_voter = voters.contains(identity);
             if !(is_voter && has_standby) {
-                let ticket = departure.ticket.take();
+                let ticket = notice.ticket.take();
                 out.extend(ticket.map(|t| Action::Answer(t, Answer::Done)));
             }
             let has_returned = self
                 .node
                 .last_contact(identity)
-                .is_some_and(|at| at > departure.announced_at + SHUTDOWN_TIME);
+                .is_some_and(|at| at > notice.announced_at + SHUTDOWN_TIME);
             (is_voter || learners.contains(identity)) && !has_returned
         });
-        self.departures = departures;
+        self.shutdown_notices = notices;
     }
 
     fn voter_silence_limit(&self) -> Duration {
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -19,11 +19,13 @@
 
 mod announcement;
 mod call;
+mod callers;
 mod core;
 mod digests;
 mod event;
 mod heartbeats;
 mod helper;
+mod leave;
 mod lifecycle;
 pub mod log_membership;
 mod order;
