fleet, gateway: what a reading of the change found

- The leader consults the replicated departures when a heartbeat comes, instead of copying them into the registry, where they grew without a bound; relays and gateways bound the VMs that they know, too.
- A shutdown notice that is forgotten answers its caller.
- Names: fixed fields of a heartbeat, statuses that deny an execution, invalid heartbeats.
- Tests: the acknowledgement of a leave beside other changes is judged in every run; the bound of the departures; a group whose VMs are all gone; a controller that is started again keeps its vote; builds are replaced after SIGTERM as well as SIGKILL.

--- a/src/domain/fleet/announcement.rs
+++ b/src/domain/fleet/announcement.rs
@@ -66,7 +66,7 @@
 
 impl Announcement {
     /// Whether two heartbeats agree on what a VM does not change within an incarnation.
-    pub fn has_place_of(&self, other: &Announcement) -> bool {
+    pub fn has_fixed_fields_of(&self, other: &Announcement) -> bool {
         self.service == other.service
             && self.address == other.address
             && self.zone == other.zone
@@ -78,7 +78,7 @@
     pub fn has_content_of(&self, other: &Announcement) -> bool {
         self.id == other.id
             && self.incarnation == other.incarnation
-            && self.has_place_of(other)
+            && self.has_fixed_fields_of(other)
             && self.slots == other.slots
             && self.draining == other.draining
             && (self.cold_ms == 0) == (other.cold_ms == 0)
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -380,12 +380,6 @@
                 self.urgent_changes += 1;
             }
             let leads = self.leading_since.is_some();
-            // The leader may have been elected before it has applied this.
-            if let Command::Unlist { id, left: Some(left) } = &command
-                && leads
-            {
-                self.registry.record_departure(id, *left);
-            }
             let is_quarantine = matches!(command, Command::Quarantine { .. } | Command::Release { .. });
             let previous = (leads && is_quarantine).then(|| self.state.quarantined.clone());
             self.state.apply(record.index, &command);
@@ -409,9 +403,7 @@
         let leads = self.node.role() == Role::Leader;
         if leads && self.leading_since.is_none() {
             self.leading_since = Some(now);
-            let departed = self.state.departed.iter();
-            self.registry =
-                Registry::with_departed(departed.map(|(id, (incarnation, _))| (id, *incarnation)));
+            self.registry = Registry::default();
             self.lifecycles.clear();
             self.staging.clear();
             self.leave_orders_sent.clear();
--- a/src/domain/fleet/digests.rs
+++ b/src/domain/fleet/digests.rs
@@ -131,7 +131,10 @@
     /// Records a heartbeat that a controller received `age` ago.
     pub(super) fn record_heartbeat(&mut self, now: Duration, age: Duration, announcement: Announcement) {
         let id = announcement.id.clone();
-        if self.is_stranger(&announcement) {
+        if self.has_departed(&announcement) {
+            return;
+        }
+        if self.displaces_vm_in_use(&announcement) {
             self.registry.record_conflict();
             return;
         }
@@ -149,7 +152,7 @@
 
     /// Whether a heartbeat is of a service that the catalog does not have, and would take the place of a VM
     /// of one that it has.
-    fn is_stranger(&self, announcement: &Announcement) -> bool {
+    fn displaces_vm_in_use(&self, announcement: &Announcement) -> bool {
         let is_known = |service: &str| {
             let mut services = self.state.catalog.iter().flat_map(|c| &c.services);
             services.any(|s| s.name == service)
--- a/src/domain/fleet/heartbeats.rs
+++ b/src/domain/fleet/heartbeats.rs
@@ -11,6 +11,7 @@
 
 use super::Announcement;
 use super::Renewal;
+use super::registry::MAX_VMS;
 
 /// How a gateway handles a heartbeat.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -71,7 +72,8 @@
         announcement: Announcement,
     ) {
         self.use_controller(controller);
-        if controller.is_none() || announcement.draining {
+        let is_known = self.vms.contains_key(&announcement.id);
+        if controller.is_none() || announcement.draining || (!is_known && self.vms.len() >= MAX_VMS) {
             return;
         }
         let vm = Vm {
--- a/src/domain/fleet/leave.rs
+++ b/src/domain/fleet/leave.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::Announcement;
 use super::Answer;
 use super::Command;
 use super::core::Core;
@@ -28,12 +29,8 @@
         };
         self.registry.mark_gone(&id);
         self.reconcile(now, out);
-        let has_departed = self
-            .state
-            .departed
-            .get(&id)
-            .is_some_and(|(i, _)| *i >= incarnation);
-        if has_departed && !self.state.listed.contains_key(&id) {
+        let is_recorded = self.departed_incarnation(&id) >= Some(incarnation);
+        if is_recorded && !self.state.listed.contains_key(&id) {
             self.answer_when_applied(ticket, out);
             return;
         }
@@ -48,7 +45,7 @@
         let group = self.state.group_of(id);
         let members = group.iter().flat_map(|g| &g.members);
         let grouped = members.filter(|m| m.id == id).map(|m| m.incarnation);
-        let departed = self.state.departed.get(id).map(|(incarnation, _)| *incarnation);
+        let departed = self.departed_incarnation(id);
         heard
             .into_iter()
             .chain(listed)
@@ -56,4 +53,15 @@
             .chain(grouped)
             .max()
     }
+
+    /// Latest incarnation of a VM that has shut down, if one is recorded.
+    fn departed_incarnation(&self, id: &str) -> Option<u64> {
+        self.state.departed.get(id).map(|(incarnation, _)| *incarnation)
+    }
+
+    /// Whether a heartbeat is of an incarnation that has shut down, as this or an earlier leader has
+    /// acknowledged.
+    pub(super) fn has_departed(&self, announcement: &Announcement) -> bool {
+        self.departed_incarnation(&announcement.id) >= Some(announcement.incarnation)
+    }
 }
--- a/src/domain/fleet/log_membership.rs
+++ b/src/domain/fleet/log_membership.rs
@@ -147,14 +147,14 @@
         let mut notices = std::mem::take(&mut self.shutdown_notices);
         notices.retain(|identity, notice| {
             let is_voter = voters.contains(identity);
-            if !(is_voter && has_standby) {
-                let ticket = notice.ticket.take();
-                out.extend(ticket.map(|t| Action::Answer(t, Answer::Done)));
-            }
             let has_returned = self
                 .node
                 .last_contact(identity)
                 .is_some_and(|at| at > notice.announced_at + SHUTDOWN_TIME);
+            if !(is_voter && has_standby) || has_returned {
+                let ticket = notice.ticket.take();
+                out.extend(ticket.map(|t| Action::Answer(t, Answer::Done)));
+            }
             (is_voter || learners.contains(identity)) && !has_returned
         });
         self.shutdown_notices = notices;
--- a/src/domain/fleet/registry.rs
+++ b/src/domain/fleet/registry.rs
@@ -7,7 +7,7 @@
 use super::Announcement;
 
 /// Largest number of VMs; heartbeats of further ones are ignored.
-const MAX_VMS: usize = 65_536;
+pub(super) const MAX_VMS: usize = 65_536;
 /// Largest number of tombstones; VMs that leave beyond it get none.
 const MAX_TOMBSTONES: usize = 4_096;
 
@@ -46,21 +46,12 @@
 }
 
 impl Registry {
-    /// Empty registry that takes no heartbeat of these VMs' incarnations.
-    pub fn with_departed<'a>(departed: impl Iterator<Item = (&'a String, u64)>) -> Self {
-        let departed = departed.map(|(id, incarnation)| (id.clone(), incarnation));
-        Registry {
-            tombstones: departed.collect(),
-            ..Registry::default()
-        }
-    }
-
     /// Records a heartbeat; returns whether it is the first of its VM or differs from the last one in
     /// more than the sequence number and the remaining time of the cold start.
     ///
     /// Ignored are heartbeats of an older incarnation, those out of order, and those for an address
-    /// that a VM with a newer incarnation holds. Those of another writer are ignored, too: a VM changes
-    /// neither its service nor its place within an incarnation. `age` is the time since a controller received the
+    /// that a VM with a newer incarnation holds. Those of another writer are ignored, too: within an
+    /// incarnation a VM changes neither service nor address, availability zone or fabric domain. `age` is the time since a controller received the
     /// heartbeat.
     pub fn record_heartbeat(&mut self, now: Duration, age: Duration, announcement: Announcement) -> bool {
         let heard_at = now.saturating_sub(age);
@@ -74,7 +65,7 @@
                 return false;
             }
             if announcement.incarnation == known.announcement.incarnation
-                && !announcement.has_place_of(&known.announcement)
+                && !announcement.has_fixed_fields_of(&known.announcement)
             {
                 self.conflicts += 1;
                 return false;
@@ -141,16 +132,6 @@
         self.release_address(&address, id);
     }
 
-    /// Records that an incarnation of a VM has shut down, as another leader may have acknowledged.
-    pub fn record_departure(&mut self, id: &str, incarnation: u64) {
-        let latest = self.vms.get(id).map(|vm| vm.announcement.incarnation);
-        if latest.is_some_and(|latest| latest <= incarnation) {
-            self.mark_gone(id);
-        }
-        let known = self.tombstones.entry(id.to_owned()).or_default();
-        *known = incarnation.max(*known);
-    }
-
     /// Forgets that the VM `id` holds `address`, if it does.
     fn release_address(&mut self, address: &str, id: &str) {
         if self.holders.get(address).is_some_and(|holder| holder == id) {
--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -24,6 +24,7 @@
 use super::TargetLog;
 use super::Timing;
 use super::event::Ticket;
+use super::registry::MAX_VMS;
 use crate::domain::limit::Issuer;
 use crate::domain::quarantine::Evidence;
 
@@ -319,9 +320,13 @@
     fn receive_heartbeat(&mut self, now: Duration, announcement: Announcement) {
         let key = (announcement.id.clone(), announcement.incarnation);
         let previous = self.vms.get(&key);
-        let is_ignored = previous.is_some_and(|p| {
-            announcement.sequence <= p.announcement.sequence || !announcement.has_place_of(&p.announcement)
-        });
+        let is_ignored = match previous {
+            Some(p) => {
+                announcement.sequence <= p.announcement.sequence
+                    || !announcement.has_fixed_fields_of(&p.announcement)
+            }
+            None => self.vms.len() >= MAX_VMS,
+        };
         if is_ignored {
             return;
         }
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -12,7 +12,7 @@
 use super::send::Classification;
 use super::send::Send;
 use super::send::classify;
-use super::send::is_promise;
+use super::send::denies_execution;
 use crate::adapters::clock;
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Connection;
@@ -121,9 +121,13 @@
             .first_answer
             .with_label_values(&labels)
             .observe(took_s);
-        if is_promise(head.status) && !self.request.is_repeatable() {
-            // Without the mark of a refusal, the target may have run the request.
-            self.end_failed(send, Outcome::Answered, "a status that promises too much");
+        if denies_execution(head.status) && !self.request.is_repeatable() {
+            // Without the header that says so, the target may have run the request.
+            self.end_failed(
+                send,
+                Outcome::Answered,
+                "a refusal that does not say that the request was not run",
+            );
             return Delivery::Unknown(None);
         }
         let mut response = Response::from_parts(head, Body::whole(body));
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -199,8 +199,8 @@
     Classification::Own
 }
 
-/// Whether callers take a status for the promise that the request has not run.
-pub(super) fn is_promise(status: StatusCode) -> bool {
+/// Whether a status tells callers that the request has not run.
+pub(super) fn denies_execution(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
--- a/src/platform/heartbeat.rs
+++ b/src/platform/heartbeat.rs
@@ -81,16 +81,16 @@
         other => return Err(format!("phase: no phase {other}")),
     };
     check_address(&heartbeat.address)?;
-    check_number("slots", heartbeat.slots <= MAX_SLOTS)?;
-    check_number("sequence", heartbeat.sequence <= MAX_SEQUENCE)?;
-    check_number("born", heartbeat.born.is_none_or(|b| b <= MAX_BORN_MS))?;
+    check("slots", heartbeat.slots <= MAX_SLOTS)?;
+    check("sequence", heartbeat.sequence <= MAX_SEQUENCE)?;
+    check("born", heartbeat.born.is_none_or(|b| b <= MAX_BORN_MS))?;
     let cold_range = 0.0..=MAX_COLD_MS;
-    check_number(
+    check(
         "cold-remaining-ms",
         cold_range.contains(&heartbeat.cold_remaining_ms),
     )?;
     let staged = heartbeat.preloaded.unwrap_or_default();
-    check_number("preloaded", staged.len() <= MAX_STAGED_MODELS)?;
+    check("preloaded", staged.len() <= MAX_STAGED_MODELS)?;
     let announcement = Announcement {
         id: id.to_owned(),
         incarnation: heartbeat.born.unwrap_or(0),
@@ -118,11 +118,11 @@
     Ok(())
 }
 
-fn check_number(field: &str, is_in_range: bool) -> Result<(), String> {
-    if is_in_range {
+fn check(field: &str, is_within_limits: bool) -> Result<(), String> {
+    if is_within_limits {
         return Ok(());
     }
-    Err(format!("{field}: out of range"))
+    Err(format!("{field}: not within limits"))
 }
 
 fn check_names(announcement: &Announcement) -> Result<(), String> {
@@ -138,10 +138,10 @@
     ];
     let staged = announcement.staged.iter().map(|m| ("preloaded", m.as_str()));
     for (field, name) in staged.chain(optional).chain(required) {
-        check_number(field, name.len() <= MAX_NAME_BYTES)?;
+        check(field, name.len() <= MAX_NAME_BYTES)?;
     }
     for (field, name) in required {
-        check_number(field, !name.is_empty())?;
+        check(field, !name.is_empty())?;
     }
     Ok(())
 }
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -87,8 +87,11 @@
     for (build, programs) in [("this build", &own), ("the other build", &other)] {
         for name in ["fleet0", "fleet1", "fleet2", "gateway-g1"] {
             let program = &programs[usize::from(name.starts_with("gateway"))];
-            site.replace(name, program);
-            users.use_site(&mut site, &format!("{name} of {build}")).await;
+            for signal in ["TERM", "KILL"] {
+                site.replace(name, signal, program);
+                let step = format!("{name} of {build}, after {signal}");
+                users.use_site(&mut site, &step).await;
+            }
         }
         for _ in 0..CHANGES_BEYOND_SNAPSHOT {
             let controller = site.controllers[0];
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -123,7 +123,8 @@
     }
 }
 
-/// Without notice, the successor takes the vote over after an election and half a second of silence.
+/// Without notice, the successor takes the vote over after two elections, of a second each, and half a second
+/// of silence: the first election may fail.
 #[test]
 fn two_disks_may_be_lost_soon_after_a_controller_was_killed_beside_its_successor() {
     let (runs, first_seed) = run_count_and_first_seed();
@@ -131,3 +132,38 @@
         run(seed, false, 1, 2_500..3_500);
     }
 }
+
+/// A controller that is started again with its disk has no successor, and needs none.
+#[test]
+fn a_controller_that_is_started_again_keeps_its_vote() {
+    let (runs, first_seed) = run_count_and_first_seed();
+    for seed in first_seed..first_seed + runs {
+        let mut simulation = Simulation::new(seed);
+        advance_by(&mut simulation, 6_000);
+        simulation.submit_to_all_nodes();
+        advance_by(&mut simulation, 1_000);
+        let index = pick(&mut simulation);
+        let identity = simulation.nodes[index]
+            .disk
+            .identity
+            .clone()
+            .expect("an identity");
+        simulation.stop(index);
+        while !simulation.nodes[index].has_ended() {
+            simulation.advance();
+        }
+        simulation.nodes[index].is_stopping = false;
+        simulation.nodes[index].starts_at = simulation.now + 500;
+        advance_by(&mut simulation, 6_000);
+        // A further controller appears when the notice of the shutdown is no longer of interest.
+        simulation.add_node();
+        advance_by(&mut simulation, 6_000);
+        let leader = simulation.leader().expect("a leader");
+        let core = simulation.nodes[leader].core.as_ref().expect("running");
+        let voters = core.node().voters();
+        assert!(
+            voters.contains(&identity),
+            "seed {seed}: {voters:?} lack {identity}"
+        );
+    }
+}
--- a/tests/odd_entries.rs
+++ b/tests/invalid_heartbeats.rs
@@ -19,29 +19,29 @@
 
 use paused::System;
 
-fn entry() -> Value {
+fn fields() -> Value {
     json!({"service": "engine", "address": "127.0.0.1:1000", "zone": "z", "slots": 26, "phase": "ready",
            "cold-remaining-ms": 0.0, "sequence": 7, "born": 1_700_000_000_000_u64, "domain": 3,
            "preloaded": ["large"], "group": {"name": "g1", "epoch": 1, "rank": 0, "phase": "open"}})
 }
 
 fn with(field: &str, value: Value) -> Vec<u8> {
-    let mut entry = entry();
-    entry[field] = value;
-    entry.to_string().into_bytes()
+    let mut fields = fields();
+    fields[field] = value;
+    fields.to_string().into_bytes()
 }
 
 #[test]
-fn a_sound_entry_is_taken() {
-    let announcement = heartbeat::decode("vm0", entry().to_string().as_bytes()).expect("taken");
+fn a_valid_heartbeat_is_taken() {
+    let announcement = heartbeat::decode("vm0", fields().to_string().as_bytes()).expect("taken");
     assert_eq!((announcement.slots, announcement.domain.as_str()), (26, "3"));
 }
 
-/// Guards against processes that end, or frames that grow beyond their limit, by one field of one entry.
+/// Guards against processes that end, or frames that grow beyond their limit, by one field of one heartbeat.
 #[test]
-fn an_entry_with_an_odd_field_is_refused() {
+fn a_heartbeat_with_an_invalid_field_is_refused() {
     let long = "x".repeat(1 << 20);
-    let odd = [
+    let invalid = [
         ("service", json!(long)),
         ("service", json!("")),
         ("zone", json!(long)),
@@ -67,7 +67,7 @@
         ("born", json!(9_000_000_000_000_000_u64)),
         ("phase", json!("asleep")),
     ];
-    for (field, value) in odd {
+    for (field, value) in invalid {
         let text = value.to_string();
         let result = heartbeat::decode("vm0", &with(field, value));
         let short: String = text.chars().take(60).collect();
@@ -75,16 +75,16 @@
         assert!(reason.len() < 300, "{field}: a reason of {} bytes", reason.len());
     }
     for id in [long.as_str(), "", "a b", "ü", "a\u{7f}"] {
-        let result = heartbeat::decode(id, entry().to_string().as_bytes());
+        let result = heartbeat::decode(id, fields().to_string().as_bytes());
         assert!(result.is_err(), "an identifier of {} bytes", id.len());
     }
 }
 
 #[test]
-fn bytes_that_are_no_entry_are_refused() {
+fn bytes_that_are_no_heartbeat_are_refused() {
     let deep = |open: &str, close: &str| format!("{}1{}", open.repeat(200_000), close.repeat(200_000));
     let nested = deep("[", "]");
-    let whole = entry().to_string();
+    let whole = fields().to_string();
     let texts = [
         nested.clone(),
         deep("{\"a\":", "}"),
@@ -125,7 +125,7 @@
 
 /// Within one incarnation a VM keeps its service, address, zone and domain.
 #[test]
-fn an_entry_that_contradicts_the_incarnation_is_ignored() {
+fn a_heartbeat_that_contradicts_the_incarnation_is_ignored() {
     let now = Duration::from_secs(1);
     let mut registry = Registry::default();
     registry.record_heartbeat(now, Duration::ZERO, announcement("a", 1, 1));
@@ -136,9 +136,9 @@
         |a| a.domain = "other".to_owned(),
     ];
     for change in change {
-        let mut odd = announcement("a", 1, 1_000);
-        change(&mut odd);
-        assert!(!registry.record_heartbeat(now, Duration::ZERO, odd));
+        let mut other = announcement("a", 1, 1_000);
+        change(&mut other);
+        assert!(!registry.record_heartbeat(now, Duration::ZERO, other));
         let vm = registry.get("a").expect("known");
         assert_eq!(vm.announcement, announcement("a", 1, 1));
     }
@@ -149,48 +149,48 @@
 
 /// The number of identifiers is bounded; VMs that are known stay so.
 #[test]
-fn entries_beyond_the_bound_are_ignored() {
+fn heartbeats_of_vms_beyond_the_bound_are_ignored() {
     let now = Duration::from_secs(1);
     let mut registry = Registry::default();
     for i in 0..70_000_u32 {
-        let mut odd = announcement(&format!("vm{i}"), 1, 1);
-        odd.address = format!("127.{}.{}.{}:1000", i >> 16, (i >> 8) & 255, i & 255);
-        registry.record_heartbeat(now, Duration::ZERO, odd);
+        let mut other = announcement(&format!("vm{i}"), 1, 1);
+        other.address = format!("127.{}.{}.{}:1000", i >> 16, (i >> 8) & 255, i & 255);
+        registry.record_heartbeat(now, Duration::ZERO, other);
     }
     assert_eq!(registry.len(), 65_536);
     assert!(registry.get("vm0").is_some());
 }
 
-/// An entry whose service no configuration names is no VM to use, and takes nothing from one that is.
+/// A heartbeat whose service no configuration names is no VM to use, and takes nothing from one that is.
 #[test]
-fn an_entry_of_an_unknown_service_takes_neither_identifier_nor_address_of_a_vm_in_use() {
+fn a_heartbeat_of_an_unknown_service_takes_neither_identifier_nor_address_of_a_vm_in_use() {
     for (id, incarnation) in [("vm0", 1), ("vm0", 2), ("stranger", 2)] {
         let mut system = System::with_open_group();
-        let odd = Announcement {
+        let other = Announcement {
             service: "other".to_owned(),
             ..announcement(id, incarnation, 1_000)
         };
-        system.call(Call::Announce(Box::new(odd)));
+        system.call(Call::Announce(Box::new(other)));
         system.advance_to(system.now + 5_000);
         assert_eq!(system.lost_at, None, "{id}, incarnation {incarnation}");
     }
 }
 
-/// Guards against a VM that falls silent for the leader because an odd entry hides its heartbeats at a relay.
+/// Guards against a VM that falls silent for the leader because another writer's heartbeat hides its heartbeats at a relay.
 #[test]
-fn heartbeats_of_a_vm_reach_the_leader_beside_an_odd_entry_with_its_identifier() {
+fn heartbeats_of_a_vm_reach_the_leader_beside_another_writers_with_its_identifier() {
     let mut relay = Relay::new(Controller::default(), Timing::default());
     let now = |step: u64| Duration::from_millis(100 * step);
     relay.step(now(1), Input::Overview(now(1), Box::default()));
     relay.step(now(2), Input::Heartbeat(1, Box::new(announcement("a", 1, 1))));
     let _ = relay.digest(now(2));
     relay.step(now(3), Input::Overview(now(2), Box::default()));
-    for odd in [(9, 1_000), (1, 1_000)] {
-        let odd = Announcement {
+    for other in [(9, 1_000), (1, 1_000)] {
+        let other = Announcement {
             zone: "other".to_owned(),
-            ..announcement("a", odd.0, odd.1)
+            ..announcement("a", other.0, other.1)
         };
-        relay.step(now(4), Input::Heartbeat(2, Box::new(odd)));
+        relay.step(now(4), Input::Heartbeat(2, Box::new(other)));
     }
     let renewal = Renewal {
         id: "a".to_owned(),
--- a/tests/leaves.rs
+++ b/tests/leaves.rs
@@ -7,8 +7,10 @@
 use heatherramp::domain::catalog::Service;
 use heatherramp::domain::fleet::Announcement;
 use heatherramp::domain::fleet::Call;
+use heatherramp::domain::fleet::Command;
 use heatherramp::domain::fleet::Document;
 use heatherramp::domain::fleet::Event;
+use heatherramp::domain::fleet::State;
 
 use controllers::Fleet;
 use controllers::STEP_MS;
@@ -127,32 +129,51 @@
     fleet.advance_until(|fleet| fleet.done.contains(&ticket));
 }
 
-/// The acknowledgement means that no gateway will be told of the VM again, also while other changes are
-/// being committed.
+/// Guards against an acknowledgement that waits for another record than the one that removes the VM.
 #[test]
 fn a_vm_that_leaves_beside_other_changes_is_no_target_once_that_is_acknowledged() {
-    let (mut fleet, relay) = fleet_with_target();
+    let (mut fleet, _) = fleet_with_target();
     let leader = fleet.leader().expect("a leader");
-    for number in 0..20_u64 {
-        let other = Announcement {
-            id: format!("other{number}"),
-            address: format!("127.0.0.1:{}", 2_000 + number),
-            ..announcement(5, 1)
-        };
-        fleet.announce(relay, other);
-    }
-    for _ in 0..3 {
+    // The record that lists another VM is proposed, and not committed yet.
+    let other = Announcement {
+        id: "desk1".to_owned(),
+        address: "127.0.0.1:1001".to_owned(),
+        ..announcement(5, 1)
+    };
+    let call = Call::Announce(Box::new(other));
+    fleet.step(leader, Event::Call { ticket: 71, call });
+    fleet.now += 5 * STEP_MS;
+    fleet.step(leader, Event::Tick);
+    let call = Call::Leave { id: VM.to_owned() };
+    let ticket = LEAVE_TICKET;
+    fleet.step(leader, Event::Call { ticket, call });
+    assert!(
+        !fleet.done.contains(&LEAVE_TICKET),
+        "acknowledged before any commit"
+    );
+    while !fleet.done.contains(&LEAVE_TICKET) {
         fleet.advance();
-        let call = Call::Leave { id: VM.to_owned() };
-        fleet.step(
-            leader,
-            Event::Call {
-                ticket: LEAVE_TICKET,
-                call,
-            },
-        );
-        if fleet.done.contains(&LEAVE_TICKET) {
-            assert!(!fleet.cores[leader].state().listed.contains_key(VM));
-        }
     }
+    let state = fleet.cores[leader].state();
+    assert!(state.listed.contains_key("desk1"));
+    assert!(!state.listed.contains_key(VM));
+}
+
+/// The number of recorded departures is bounded, and their part of a snapshot.
+#[test]
+fn the_oldest_departures_are_forgotten() {
+    let mut state = State::default();
+    let without = serde_json::to_string(&state).expect("encoded").len();
+    for index in 1..=3_000_u64 {
+        let command = Command::Unlist {
+            id: format!("i-{index:010x}"),
+            left: Some(1_700_000_000_000 + index),
+        };
+        state.apply(index, &command);
+    }
+    assert_eq!(state.departed.len(), 1_024);
+    assert!(state.departed.contains_key("i-0000000bb8"), "the latest one");
+    let bytes = serde_json::to_string(&state).expect("encoded").len() - without;
+    println!("{bytes} bytes of a snapshot");
+    assert!(bytes < 64 << 10, "{bytes} bytes");
 }
--- a/tests/pauses.rs
+++ b/tests/pauses.rs
@@ -96,3 +96,19 @@
         );
     }
 }
+
+/// A group of which nothing is heard any more does not stay in the log for good.
+#[test]
+fn a_group_whose_vms_are_all_gone_is_dissolved_after_an_hour() {
+    let mut system = System::with_open_group();
+    let now = system.now;
+    for vm in &mut system.vms {
+        vm.silence = (now, u64::MAX);
+    }
+    system.advance_to(now + 60_000);
+    assert_eq!(system.dissolved_at, None, "the head may still serve");
+    // Nothing happens in the hour that is left out.
+    system.now += 3_600_000;
+    system.advance_to(system.now + 1_000);
+    assert!(system.dissolved_at.is_some());
+}
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -72,9 +72,9 @@
     assert!(request_count(&upstreams) > 1, "not sent to the other upstream");
 }
 
-/// Callers take these statuses for the promise that the request has not run.
+/// These statuses tell callers that the request has not run, which the upstream did not say.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_status_that_promises_too_much_is_not_passed_on() {
+async fn a_refusal_that_does_not_say_that_the_request_was_not_run_is_not_passed_on() {
     for (number, line) in [
         (225, "503 Service Unavailable"),
         (226, "429 Too Many Requests"),
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -167,11 +167,13 @@
         self.spawn(&format!("gateway-{name}"), program, &settings);
     }
 
-    /// Kills a process and starts it again as `program`, with its settings and data.
-    pub fn replace(&mut self, name: &str, program: &str) {
+    /// Stops a process by `signal` and starts it again as `program`, with its settings and data.
+    pub fn replace(&mut self, name: &str, signal: &str, program: &str) {
         let position = self.processes.iter().position(|(n, _)| n == name).unwrap();
         let (_, mut child) = self.processes.remove(position);
-        child.kill().unwrap();
+        let id = child.id().to_string();
+        let sent = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+        assert!(sent.unwrap().success());
         child.wait().unwrap();
         let text = std::fs::read_to_string(self.folder.join(format!("{name}.json"))).unwrap();
         let settings: Value = serde_json::from_str(&text).unwrap();
