--- a/tests/cuts.rs
+++ b/tests/cuts.rs
@@ -46,18 +46,6 @@
             }
             simulation.advance();
         }
-        let before = simulation.acknowledged;
-        let until = simulation.now + RECOVERY_MS;
-        while simulation.now < until {
-            if simulation.now.is_multiple_of(500) {
-                simulation.submit_to_all_nodes();
-            }
-            simulation.advance();
-        }
-        let trace = &simulation.trace;
-        assert!(
-            simulation.acknowledged > before,
-            "seed {seed}: nothing was accepted after the last cut: {trace:#?}"
-        );
+        simulation.assert_accepts_changes(seed, RECOVERY_MS);
     }
 }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -89,19 +89,7 @@
         advance_by(&mut simulation, settle_ms);
         lose_two_disks(&mut simulation);
         advance_by(&mut simulation, 6_000);
-        let before = simulation.acknowledged;
-        let until = simulation.now + RECOVERY_MS - 6_000;
-        while simulation.now < until {
-            if simulation.now.is_multiple_of(500) {
-                simulation.submit_to_all_nodes();
-            }
-            simulation.advance();
-        }
-        let trace = &simulation.trace;
-        assert!(
-            simulation.acknowledged > before,
-            "seed {seed}: nothing is accepted any more: {trace:#?}"
-        );
+        simulation.assert_accepts_changes(seed, RECOVERY_MS - 6_000);
     }
 }
 
--- a/tests/voting/mod.rs
+++ b/tests/voting/mod.rs
@@ -288,6 +288,23 @@
         }
     }
 
+    /// Submits changes to all nodes, and asserts that one is accepted within `time_ms`.
+    pub fn assert_accepts_changes(&mut self, seed: u64, time_ms: u64) {
+        let before = self.acknowledged;
+        let until = self.now + time_ms;
+        while self.now < until {
+            if self.now.is_multiple_of(500) {
+                self.submit_to_all_nodes();
+            }
+            self.advance();
+        }
+        let trace = &self.trace;
+        assert!(
+            self.acknowledged > before,
+            "seed {seed}: nothing is accepted any more: {trace:#?}"
+        );
+    }
+
     pub fn trace_membership(&mut self) {
         let now = Duration::from_millis(self.now);
         let running_cores = self.nodes.iter().filter_map(|n| n.core.as_ref());
