--- a/review/standin-2/mod.rs
+++ b/review/standin-2/mod.rs
@@ -49,6 +49,17 @@
     false
 }
 
+/// As [`wait_until`], without a pause between checks.
+pub fn spin_until(limit: Duration, mut is_true: impl FnMut() -> bool) -> bool {
+    let started = Instant::now();
+    while started.elapsed() < limit {
+        if is_true() {
+            return true;
+        }
+    }
+    false
+}
+
 /// Ends the processes of `site` and this one when the case takes too long.
 pub fn limit_time(record: &record::Record, site: &std::sync::Arc<site::Site>) {
     let (record, site) = (record.clone(), site.clone());
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -5,6 +5,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::os::unix::fs::MetadataExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -219,6 +220,12 @@
         self.record.line(&format!("platform: the disk of {} is lost", machine.name));
     }
 
+    /// Identifies a file on a core machine's disk that is replaced as a whole; another one after its replacement.
+    pub fn file(&self, machine: &Machine, name: &str) -> Option<u64> {
+        let metadata = std::fs::metadata(self.data_folder(machine).join(name));
+        metadata.ok().map(|m| m.ino())
+    }
+
     /// What the process of a machine has written.
     pub fn log(&self, machine: &Machine) -> String {
         std::fs::read_to_string(self.folder.join(format!("{}.log", machine.name))).unwrap_or_default()
