--- a/src/adapters/disk/folder.rs
+++ b/src/adapters/disk/folder.rs
@@ -1,5 +1,6 @@
 //! The data folder of one voter.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -22,10 +23,10 @@
 pub struct Folder<F> {
     files: F,
     path: PathBuf,
-    /// Index of each record in `log`, and the file offset of its end in bytes.
+    /// Index of each record in `log` after the snapshot, and the file offset of its end in bytes.
     record_ends: Vec<(u64, u64)>,
-    snapshot_index: u64,
-    /// Whether a failed append may have left bytes after the last record of `log`.
+    /// Whether `log` may have bytes after the last of these records: those of a failed append, or records that
+    /// the snapshot replaced.
     is_dirty: bool,
 }
 
@@ -54,7 +55,6 @@
             files,
             path: path.to_owned(),
             record_ends: Vec::new(),
-            snapshot_index: 0,
             is_dirty: false,
         };
         folder.replace("snapshot", &snapshot)?;
@@ -74,13 +74,11 @@
             files,
             path: path.to_owned(),
             record_ends: Vec::new(),
-            snapshot_index: 0,
             is_dirty: false,
         };
         let identity: String = folder.load("identity")?;
         let hard_state = folder.load("hard")?;
         let snapshot: Snapshot = folder.load("snapshot")?;
-        folder.snapshot_index = snapshot.index;
         let records = folder.load_records(&snapshot)?;
         let recovery = Recovery {
             hard_state,
@@ -116,6 +114,7 @@
             self.files
                 .truncate(&path, end_offset)
                 .change_context(Error::Write)?;
+            self.files.sync(&path).change_context(Error::Write)?;
         }
         let is_new_file = end_offset == 0;
         let mut bytes = Vec::new();
@@ -148,9 +147,7 @@
         later_records: &[Record],
     ) -> Result<(), Report<Error>> {
         self.replace("snapshot", snapshot)?;
-        self.snapshot_index = snapshot.index;
-        // A crash before the log is replaced leaves records that the snapshot covers. The
-        // consensus journal drops them at recovery.
+        // A crash before the log is replaced leaves records that the snapshot replaces; `open` drops them.
         let mut new_ends = Vec::new();
         let mut bytes = Vec::new();
         for record in later_records {
@@ -177,9 +174,11 @@
         Ok(())
     }
 
-    /// Reads the records of `log` and truncates a torn last one.
+    /// Reads the records of `log` after the snapshot, and truncates a torn last one.
     ///
-    /// The file does not exist before the first record or snapshot is saved.
+    /// The file does not exist before the first record or snapshot is saved. Records that the snapshot replaced
+    /// stay in the file until the next save: a crash between the replacement of `snapshot` and that of `log`
+    /// leaves them, and a full disk must not keep the folder from opening.
     fn load_records(&mut self, snapshot: &Snapshot) -> Result<Vec<Record>, Report<Error>> {
         let path = self.path.join("log");
         let bytes = self
@@ -188,12 +187,13 @@
             .change_context(Error::Read)?
             .unwrap_or_default();
         let mut rest = bytes.as_slice();
-        let mut records: Vec<Record> = Vec::new();
+        let mut stored: Vec<Record> = Vec::new();
+        let mut ends = BTreeMap::new();
+        let mut end = 0;
         loop {
             match frame::decode(rest) {
                 Decoded::End => break,
                 Decoded::Torn => {
-                    let end = self.record_ends.last().map_or(0, |(_, end)| *end);
                     reject_damage_before_tail(rest)?;
                     self.files.truncate(&path, end).change_context(Error::Write)?;
                     self.files.sync(&path).change_context(Error::Write)?;
@@ -201,18 +201,20 @@
                 }
                 Decoded::Valid(item, after) => {
                     rest = after;
+                    end = (bytes.len() - rest.len()) as u64;
                     let record: Record = from_json(item)?;
-                    self.record_ends
-                        .push((record.index, (bytes.len() - rest.len()) as u64));
-                    records.push(record);
+                    ends.insert(record.index, end);
+                    stored.push(record);
                 }
             }
         }
-        let is_contiguous = records.windows(2).all(|w| w[1].index == w[0].index + 1);
-        let meets_snapshot = records.first().is_none_or(|r| r.index <= snapshot.index + 1);
-        if !is_contiguous || !meets_snapshot {
+        let records = snapshot.later_records(stored);
+        let mut expected = snapshot.index + 1..;
+        if !records.iter().all(|r| Some(r.index) == expected.next()) {
             return Err(Report::new(Error::Damaged).attach("the log has a gap"));
         }
+        self.record_ends = records.iter().map(|r| (r.index, ends[&r.index])).collect();
+        self.is_dirty = self.record_ends.last().map_or(0, |(_, end)| *end) != end;
         Ok(records)
     }
 
--- a/src/domain/consensus/journal.rs
+++ b/src/domain/consensus/journal.rs
@@ -12,10 +12,9 @@
 }
 
 impl Journal {
-    /// Journal of `snapshot` and the records after it; drops records that the snapshot covers.
+    /// Journal of `snapshot` and the records after it; drops records that the snapshot replaces.
     pub fn new(snapshot: Snapshot, records: Vec<Record>) -> Self {
-        let covered = snapshot.index;
-        let records = records.into_iter().filter(|r| r.index > covered).collect();
+        let records = snapshot.later_records(records);
         Journal { snapshot, records }
     }
 
@@ -80,8 +79,8 @@
         if snapshot.index <= self.snapshot.index {
             return;
         }
-        let is_consistent = self.term_at(snapshot.index) == Some(snapshot.term);
-        self.records.retain(|r| is_consistent && r.index > snapshot.index);
+        let records = std::mem::take(&mut self.records);
+        self.records = snapshot.later_records(records);
         self.snapshot = snapshot;
     }
 
--- a/src/domain/consensus/record.rs
+++ b/src/domain/consensus/record.rs
@@ -53,3 +53,17 @@
     /// State in the encoding of the state machine; empty before the first record.
     pub state: String,
 }
+
+impl Snapshot {
+    /// Records of a stored log that follow the snapshot.
+    ///
+    /// None if the log disagrees with the snapshot, that is, has a record of another term at its index.
+    pub fn later_records(&self, mut records: Vec<Record>) -> Vec<Record> {
+        let disagrees = |r: &Record| r.index == self.index && r.term != self.term;
+        if records.iter().any(disagrees) {
+            return Vec::new();
+        }
+        records.retain(|r| r.index > self.index);
+        records
+    }
+}
--- a/tests/disk.rs
+++ b/tests/disk.rs
@@ -11,6 +11,7 @@
 use heatherramp::adapters::disk::Files;
 use heatherramp::adapters::disk::Folder;
 use heatherramp::domain::consensus::HardState;
+use heatherramp::domain::consensus::Journal;
 use heatherramp::domain::consensus::Payload;
 use heatherramp::domain::consensus::Record;
 use heatherramp::domain::consensus::Snapshot;
@@ -66,6 +67,17 @@
         Disk::with_files(surviving)
     }
 
+    /// Disk after the process alone has ended: all that it wrote.
+    fn after_kill(&self) -> Disk {
+        Disk::with_files(self.0.lock().unwrap().visible.clone())
+    }
+
+    /// Lets only the next `count` operations succeed.
+    fn fail_after(&self, count: usize) {
+        let mut state = self.0.lock().unwrap();
+        state.crash_at = state.operations + count;
+    }
+
     /// Disk with these files, all durable, that does not crash.
     fn with_files(files: BTreeMap<PathBuf, Vec<u8>>) -> Disk {
         Disk(Arc::new(Mutex::new(DiskState {
@@ -138,10 +150,10 @@
     }
 }
 
-fn snapshot(index: u64) -> Snapshot {
+fn snapshot(index: u64, term: u64) -> Snapshot {
     Snapshot {
         index,
-        term: 1,
+        term,
         voters: vec!["c1".to_owned()],
         learners: Vec::new(),
         state: format!("state at {index}"),
@@ -195,7 +207,8 @@
                 .range(index + 1..)
                 .map(|(_, r)| r.clone())
                 .collect();
-            if folder.save_snapshot(&snapshot(index), &later_records).is_err() {
+            let saved = folder.save_snapshot(&snapshot(index, round), &later_records);
+            if saved.is_err() {
                 return acknowledged;
             }
             acknowledged.records.retain(|i, _| *i > index);
@@ -248,6 +261,157 @@
     assert!(crash_points > 300);
 }
 
+/// Change of the stored log, by offsets from its last index.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// New records.
+    Append(u64),
+    /// New records of a later term in place of as many last ones.
+    Replace(u64),
+    /// Own snapshot that many records before the last one.
+    Compact(u64),
+    /// Leader's snapshot that many records beyond the last one.
+    Overtake(u64),
+    /// Leader's snapshot that many records before the last one, with another term at its index.
+    Overrule(u64),
+}
+
+/// Voter's log in memory and on disk.
+struct Voter {
+    folder: Folder<Disk>,
+    journal: Journal,
+}
+
+impl Voter {
+    fn open(disk: &Disk) -> Voter {
+        let opened = Folder::open(disk.clone(), data_folder());
+        let (folder, _, recovery) = opened.expect("the folder opens after each restart");
+        let journal = Journal::new(recovery.snapshot, recovery.records.clone());
+        assert_eq!(journal.range(0, 1_000), recovery.records);
+        Voter { folder, journal }
+    }
+
+    /// Applies `step` to the log in memory and on disk, as a consensus node and its driver do.
+    fn apply(&mut self, step: Step) -> bool {
+        let (last, term) = (self.journal.last_index(), self.journal.last_term());
+        let (index, new_term) = match step {
+            Step::Append(count) => return self.append(last + 1, count, term),
+            Step::Replace(count) => return self.append(last + 1 - count, count, term + 1),
+            Step::Compact(count) => (last - count, None),
+            Step::Overtake(count) => (last + count, Some(term)),
+            Step::Overrule(count) => (last - count, Some(term + 1)),
+        };
+        let stored_term = || self.journal.term_at(index).expect("the log holds the index");
+        let snapshot = snapshot(index, new_term.unwrap_or_else(stored_term));
+        self.journal.compact(snapshot.clone());
+        let later_records = self.journal.range(index + 1, 1_000);
+        self.folder.save_snapshot(&snapshot, later_records).is_ok()
+    }
+
+    fn append(&mut self, first: u64, count: u64, term: u64) -> bool {
+        self.journal.truncate(first);
+        let records: Vec<Record> = (first..first + count).map(|i| record(i, term.max(1))).collect();
+        records.iter().for_each(|r| self.journal.push(r.clone()));
+        self.folder.save_records(&records).is_ok()
+    }
+
+    fn assert_same(&self, other: &Voter, context: &str) {
+        assert_eq!(self.journal.snapshot(), other.journal.snapshot(), "{context}");
+        assert_eq!(
+            self.journal.range(0, 1_000),
+            other.journal.range(0, 1_000),
+            "{context}"
+        );
+    }
+}
+
+/// Guards against folders that are found damaged at a later restart, since an interrupted snapshot left records that
+/// were appended to afterwards.
+#[test]
+fn a_folder_goes_on_after_two_crashes_at_any_points() {
+    let first = [
+        Step::Append(6),
+        Step::Replace(2),
+        Step::Overtake(5),
+        Step::Append(4),
+        Step::Overrule(2),
+        Step::Append(5),
+        Step::Compact(2),
+        Step::Append(1),
+    ];
+    let second = [
+        Step::Append(3),
+        Step::Overtake(4),
+        Step::Append(3),
+        Step::Compact(1),
+    ];
+    let new_disk = || {
+        let disk = Disk::with_files(BTreeMap::new());
+        Folder::create(disk.clone(), data_folder(), "c1", &["c1".to_owned()]).unwrap();
+        disk
+    };
+    let mut crash_points = 0;
+    // Bytes of an unsynced tail that survive a loss of power; none for an end of the process alone.
+    for torn_bytes in [None, Some(0), Some(7), Some(60)] {
+        let end = |disk: &Disk| match torn_bytes {
+            None => disk.after_kill(),
+            Some(torn_bytes) => {
+                disk.0.lock().unwrap().torn_bytes = torn_bytes;
+                disk.after_crash()
+            }
+        };
+        for crash_at in 0.. {
+            let disk = new_disk();
+            let mut voter = Voter::open(&disk);
+            disk.fail_after(crash_at);
+            let is_first_complete = first.iter().all(|step| voter.apply(*step));
+            let disk = end(&disk);
+            for next_crash_at in 0.. {
+                let context = format!("{torn_bytes:?}: crashes at {crash_at} and {next_crash_at}");
+                crash_points += 1;
+                let disk = disk.after_kill();
+                let mut voter = Voter::open(&disk);
+                disk.fail_after(next_crash_at);
+                let is_complete = second.iter().all(|step| voter.apply(*step));
+                let disk = end(&disk);
+                let mut restarted = Voter::open(&disk);
+                if is_complete {
+                    restarted.assert_same(&voter, &context);
+                }
+                assert!(restarted.apply(Step::Append(2)));
+                Voter::open(&disk).assert_same(&restarted, &context);
+                if is_complete {
+                    break;
+                }
+            }
+            if is_first_complete {
+                break;
+            }
+        }
+    }
+    println!("{crash_points} pairs of crash points");
+}
+
+/// Guards against voters that stay down: earlier versions appended behind records that the snapshot had replaced.
+#[test]
+fn a_folder_whose_replaced_records_were_never_removed_opens() {
+    let disk = Disk::with_files(BTreeMap::new());
+    Folder::create(disk.clone(), data_folder(), "c1", &["c1".to_owned()]).unwrap();
+    let mut voter = Voter::open(&disk);
+    assert!(voter.apply(Step::Append(4)));
+    let log = data_folder().join("log");
+    let replaced = disk.0.lock().unwrap().visible[&log].clone();
+    assert!(voter.apply(Step::Overtake(10)) && voter.apply(Step::Append(3)));
+    let mut files = disk.0.lock().unwrap().visible.clone();
+    let appended = files.insert(log.clone(), replaced).unwrap();
+    files.get_mut(&log).unwrap().extend(appended);
+    let disk = Disk::with_files(files);
+    let mut restarted = Voter::open(&disk);
+    restarted.assert_same(&voter, "restart");
+    assert!(restarted.apply(Step::Replace(2)) && restarted.apply(Step::Append(2)));
+    Voter::open(&disk).assert_same(&restarted, "next restart");
+}
+
 #[test]
 fn a_lost_folder_and_damaged_files_are_refused() {
     let disk = Disk::with_files(BTreeMap::new());
