catalog: an empty list of client accounts admits nobody

What callers saw: after a configuration whose list of client accounts is empty, withdrawn keys and keys that never were in force run requests at all gateways.

Cause: decode took a missing list and an empty one for the same, and derived `needs_keys` from its emptiness.

Change: Definition::accounts is an Option, so that the two differ from then on; `null` in its place is refused. The stored form is as before, a list and a flag, for processes of earlier versions.

--- a/src/domain/catalog/definition.rs
+++ b/src/domain/catalog/definition.rs
@@ -123,8 +123,46 @@
     pub services: Vec<Service>,
     /// Limits on requests and connections.
     pub limits: Limits,
-    /// Client accounts whose keys are accepted.
-    pub accounts: Vec<Account>,
-    /// Whether routes that are not public require a key.
-    pub needs_keys: bool,
+    /// Client accounts whose keys are accepted on routes that are not public, so that an empty list admits nobody
+    /// there; without a list no route requires a key.
+    #[serde(flatten, with = "stored_accounts")]
+    pub accounts: Option<Vec<Account>>,
+}
+
+/// Stored form of the client accounts: a list and a flag, as processes of earlier versions read and write them.
+mod stored_accounts {
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serialize;
+    use serde::Serializer;
+
+    use super::Account;
+
+    #[derive(Serialize)]
+    struct Written<'a> {
+        accounts: &'a [Account],
+        needs_keys: bool,
+    }
+
+    #[derive(Deserialize)]
+    struct Read {
+        accounts: Vec<Account>,
+        needs_keys: bool,
+    }
+
+    pub fn serialize<S: Serializer>(
+        accounts: &Option<Vec<Account>>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let written = Written {
+            accounts: accounts.as_deref().unwrap_or_default(),
+            needs_keys: accounts.is_some(),
+        };
+        written.serialize(serializer)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Vec<Account>>, D::Error> {
+        let read = Read::deserialize(deserializer)?;
+        Ok(read.needs_keys.then_some(read.accounts))
+    }
 }
--- a/src/domain/catalog/difference.rs
+++ b/src/domain/catalog/difference.rs
@@ -28,7 +28,7 @@
 /// JSON of a definition, without keys.
 fn to_value(definition: &Definition) -> Value {
     let mut definition = definition.clone();
-    for account in &mut definition.accounts {
+    for account in definition.accounts.iter_mut().flatten() {
         for key in &mut account.keys {
             // Equal keys must stay equal, but must not be read from a report.
             *key = format!("{:016x}", xxhash_rust::xxh3::xxh3_64(key.as_bytes()));
--- a/src/domain/catalog/lookup.rs
+++ b/src/domain/catalog/lookup.rs
@@ -42,7 +42,7 @@
             routes.sort_by_key(|i| std::cmp::Reverse(definition.routes[*i].prefix.len()));
         }
         let mut keys = HashMap::new();
-        for (index, account) in definition.accounts.iter().enumerate() {
+        for (index, account) in definition.accounts.iter().flatten().enumerate() {
             keys.extend(account.keys.iter().map(|key| (key.clone(), index)));
         }
         Catalog {
@@ -79,15 +79,14 @@
 
     /// Checks whether a caller that presents `key` may use `route`.
     pub fn authorize(&self, route: &Route, key: Option<&str>) -> Access<'_> {
-        let owner = key
-            .and_then(|k| self.keys.get(k))
-            .map(|i| &self.definition.accounts[*i]);
-        if let Some(account) = owner {
-            return Access::Account(account);
+        let index = key.and_then(|k| self.keys.get(k));
+        match &self.definition.accounts {
+            None => Access::Public,
+            Some(accounts) => match index {
+                Some(index) => Access::Account(&accounts[*index]),
+                None if route.public => Access::Public,
+                None => Access::Denied,
+            },
         }
-        if route.public || !self.definition.needs_keys {
-            return Access::Public;
-        }
-        Access::Denied
     }
 }
--- a/src/domain/catalog/review.rs
+++ b/src/domain/catalog/review.rs
@@ -62,7 +62,7 @@
         let path = format!("route {}", route.name);
         findings.extend(limit_reasons(route, &definition.services).map(|r| finding(Kind::Limit, &path, r)));
     }
-    for account in &definition.accounts {
+    for account in definition.accounts.iter().flatten() {
         let path = format!("account {}", account.name);
         findings.extend(key_reason(account).map(|r| finding(Kind::Key, &path, r.to_owned())));
         let rank = account.rank.and_then(rank_reason);
--- a/src/domain/catalog/validate.rs
+++ b/src/domain/catalog/validate.rs
@@ -56,7 +56,7 @@
 /// Checks that no key belongs to two accounts.
 fn check_keys(definition: &Definition) -> Result<(), Error> {
     let mut owners: HashMap<&str, &str> = HashMap::new();
-    for account in &definition.accounts {
+    for account in definition.accounts.iter().flatten() {
         for key in &account.keys {
             let previous_owner = owners.insert(key, &account.name);
             if let Some(first) = previous_owner.filter(|name| *name != account.name) {
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -3,6 +3,7 @@
 //! The types in [`catalog`] state the meaning and the unit of each field.
 
 use serde::Deserialize;
+use serde::Deserializer;
 
 use crate::domain::catalog;
 use crate::domain::catalog::Catalog;
@@ -19,7 +20,9 @@
     routes: Vec<Route>,
     services: Vec<Service>,
     limits: Option<Limits>,
-    // Client accounts; without any, no route requires a key.
+    // Client accounts. Without the field no route requires a key, so `null` is refused: it is neither a list nor its
+    // absence.
+    #[serde(default, deserialize_with = "deserialize_present")]
     tenants: Option<Vec<Tenant>>,
 }
 
@@ -149,17 +152,23 @@
         .into_iter()
         .map(convert_route)
         .collect::<Result<_, _>>()?;
-    let tenants = document.tenants.unwrap_or_default();
+    let convert_accounts = |tenants: Vec<Tenant>| tenants.into_iter().map(convert_account).collect();
     Ok(Definition {
         version: document.version,
         routes,
         services: document.services.into_iter().map(convert_service).collect(),
         limits: document.limits.map(convert_limits).unwrap_or_default(),
-        needs_keys: !tenants.is_empty(),
-        accounts: tenants.into_iter().map(convert_account).collect(),
+        accounts: document.tenants.map(convert_accounts),
     })
 }
 
+/// Value of a field that is present.
+fn deserialize_present<'de, T: Deserialize<'de>, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<T>, D::Error> {
+    T::deserialize(deserializer).map(Some)
+}
+
 fn convert_route(route: Route) -> Result<catalog::Route, String> {
     let streams = route.r#type == "streaming";
     let resumes = route.stream_resume.unwrap_or(false);
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -85,6 +85,38 @@
     assert_eq!(account_or_refusal(catalog.authorize(open, Some("k1"))), "one");
 }
 
+/// Guards against a configuration that locks all callers out but is taken for one that needs no keys.
+#[test]
+fn an_empty_list_of_accounts_admits_nobody() {
+    let stored = |definition: &Definition| serde_json::to_string(definition).unwrap();
+    let access = |definition: Definition, path: &str, key| {
+        let catalog = Catalog::try_from(definition).unwrap();
+        let route = catalog.route("a.example", path).unwrap();
+        format!("{:?}", catalog.authorize(route, key))
+    };
+    let mut changed = document();
+    changed["tenants"] = json!([]);
+    let empty = decode(&changed).unwrap();
+    changed.as_object_mut().unwrap().remove("tenants");
+    let absent = decode(&changed).unwrap();
+    for restore in [false, true] {
+        let restored = |d: &Definition| match restore {
+            true => serde_json::from_str(&stored(d)).unwrap(),
+            false => d.clone(),
+        };
+        for key in [Some("k1"), Some("k4"), None] {
+            assert_eq!(access(restored(&empty), "/x/1", key), "Denied");
+            assert_eq!(access(restored(&empty), "/open/1", key), "Public");
+            assert_eq!(access(restored(&absent), "/x/1", key), "Public");
+        }
+    }
+    // Gateways and controllers of earlier versions read these two fields.
+    assert!(stored(&empty).contains(r#""accounts":[],"needs_keys":true"#));
+    assert!(stored(&absent).contains(r#""accounts":[],"needs_keys":false"#));
+    changed["tenants"] = Value::Null;
+    assert!(decode(&changed).unwrap_err().contains("tenants"));
+}
+
 #[test]
 fn an_invalid_document_is_rejected_with_its_reason() {
     let error_after = |change: &dyn Fn(&mut Value)| {
--- a/tests/configuration_check.rs
+++ b/tests/configuration_check.rs
@@ -63,7 +63,7 @@
             prop_assert_eq!(found.any(|r| r.name == route.name), !is_unreachable);
             prop_assert_eq!(findings.iter().any(|f| f.path == path && f.reason.contains("objective")), route.timeout_ms < 100);
         }
-        for account in &catalog.definition().accounts {
+        for account in catalog.definition().accounts.as_ref().unwrap() {
             let is_reported = findings.iter().any(|f| f.kind == Kind::Key && f.path == format!("account {}", account.name));
             prop_assert_eq!(is_reported, account.keys.is_empty() || account.keys.iter().any(|k| k.trim() != k || k.is_empty()));
         }
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -77,8 +77,7 @@
             engine: None,
         }],
         limits: Limits::default(),
-        accounts: Vec::new(),
-        needs_keys: false,
+        accounts: None,
     }
 }
 
--- a/tests/formation/catalog.rs
+++ b/tests/formation/catalog.rs
@@ -41,7 +41,6 @@
             engine: Some(engine),
         }],
         limits: Limits::default(),
-        accounts: Vec::new(),
-        needs_keys: false,
+        accounts: None,
     }
 }
--- a/tests/leaves.rs
+++ b/tests/leaves.rs
@@ -31,8 +31,7 @@
             engine: None,
         }],
         limits: Limits::default(),
-        accounts: Vec::new(),
-        needs_keys: false,
+        accounts: None,
     }
 }
 
--- a/tests/paused/mod.rs
+++ b/tests/paused/mod.rs
@@ -125,8 +125,7 @@
             engine: Some(engine),
         }],
         limits: Limits::default(),
-        accounts: Vec::new(),
-        needs_keys: false,
+        accounts: None,
     }
 }
 
--- a/tests/voting/mod.rs
+++ b/tests/voting/mod.rs
@@ -101,8 +101,7 @@
         routes: Vec::new(),
         services: Vec::new(),
         limits: Limits::default(),
-        accounts: Vec::new(),
-        needs_keys: false,
+        accounts: None,
     }
 }
 
