gateway: a confirmation may be older than the process that receives it

What callers saw: keys that were withdrawn more than revocation-ms ago work again at gateways that start while the controller they reach is cut off from the leader, for up to 4.5 s.

Cause: the moment of a confirmation was calculated by a saturating subtraction on a clock that starts at zero with the process. An overview older than the process counted as confirmed at its start. The lease began there as well, before anything was confirmed.

Change: fleet::Confirmation is a moment that may lie before the start; a gateway holds none before the leader's first one. Gateways no longer acknowledge heartbeats in their first second without a confirmation.

--- a/src/domain/fleet/attachment.rs
+++ b/src/domain/fleet/attachment.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::Confirmation;
 use super::Controller;
 
 /// Age of the overview from which on another controller is tried. A change of leader takes less.
@@ -67,8 +68,8 @@
 pub enum Outcome {
     /// The controller answered with an overview.
     Answered {
-        /// Time before the leader stated this overview.
-        confirmed_at: Duration,
+        /// When the leader confirmed this overview, at the earliest.
+        confirmation: Confirmation,
         /// Whether the overview could be applied: one that is behind the gateway's own state cannot.
         is_applied: bool,
     },
@@ -110,7 +111,7 @@
     gateways: usize,
     current: Option<SocketAddr>,
     /// When the leader confirmed what `current` last answered; none while that has no overview.
-    confirmed_at: Option<Duration>,
+    confirmation: Option<Confirmation>,
     /// Failures in a row while attached to no controller.
     failures: u32,
     /// Trials in a row that found no fresher controller.
@@ -188,13 +189,13 @@
         let mut left = None;
         let delay = match outcome {
             Outcome::Answered {
-                confirmed_at,
+                confirmation,
                 is_applied,
             } => {
                 if !is_attached {
-                    self.attach(choice.address, Some(confirmed_at));
+                    self.attach(choice.address, Some(confirmation));
                 } else if is_applied {
-                    self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+                    self.confirmation = self.confirmation.max(Some(confirmation));
                 }
                 if is_applied {
                     Duration::ZERO
@@ -223,17 +224,15 @@
         let is_for_freshness = self.trial_at.is_some_and(|at| now >= at);
         let is_better = match outcome {
             Outcome::Answered {
-                confirmed_at,
+                confirmation,
                 is_applied: true,
-            } if is_for_freshness => self
-                .confirmed_at
-                .is_none_or(|known| confirmed_at > known + FRESHNESS_MARGIN),
-            Outcome::Answered {
-                confirmed_at,
-                is_applied: true,
-            } => self
-                .confirmed_at
-                .is_none_or(|known| confirmed_at + FRESHNESS_MARGIN >= known),
+            } => self.confirmation.is_none_or(|known| {
+                if is_for_freshness {
+                    confirmation.is_later_by(FRESHNESS_MARGIN, known)
+                } else {
+                    !known.is_later_by(FRESHNESS_MARGIN, confirmation)
+                }
+            }),
             _ => false,
         };
         let left = if is_better {
@@ -242,8 +241,8 @@
                 // The current controller may be in the own zone, and cut off from the leader for longer.
                 self.returns = self.returns.max(1);
             }
-            if let Outcome::Answered { confirmed_at, .. } = outcome {
-                self.attach(address, Some(confirmed_at));
+            if let Outcome::Answered { confirmation, .. } = outcome {
+                self.attach(address, Some(confirmation));
             }
             previous
         } else {
@@ -266,12 +265,12 @@
     }
 
     /// Makes `address` the current controller.
-    fn attach(&mut self, address: SocketAddr, confirmed_at: Option<Duration>) {
+    fn attach(&mut self, address: SocketAddr, confirmation: Option<Confirmation>) {
         self.current = Some(address);
         if self.is_home(address) {
             self.returns = 0;
         }
-        self.confirmed_at = confirmed_at;
+        self.confirmation = confirmation;
         self.failures = 0;
         self.trials = 0;
         self.trial_at = None;
@@ -307,7 +306,7 @@
         let Some(current) = self.current else {
             return;
         };
-        if self.confirmed_at.is_some_and(|at| now < at + STALE_AGE) {
+        if self.confirmation.is_some_and(|c| c.is_valid(now, STALE_AGE)) {
             self.trial_at = None;
             self.trials = 0;
         } else if self.trial_at.is_none() {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -24,6 +24,7 @@
 use crate::adapters::quic::Pool;
 use crate::domain::catalog::Catalog;
 use crate::domain::fleet::Announcement;
+use crate::domain::fleet::Confirmation;
 use crate::domain::fleet::Handling;
 use crate::domain::fleet::Heartbeats;
 use crate::domain::gateway::Balancer;
@@ -84,9 +85,8 @@
     refusals: Mutex<Refusals>,
     helper_address: OnceLock<String>,
     catalog: Mutex<Option<Arc<Catalog>>>,
-    /// Start of the catalog's lease: when the leader last confirmed its version, in milliseconds of the
-    /// process's clock.
-    lease_start_ms: AtomicU64,
+    /// Start of the catalog's lease: when the leader last confirmed its version; none before it first did.
+    confirmation: Mutex<Option<Confirmation>>,
     /// Whether the leader has ever sent targets.
     has_targets: AtomicBool,
     draining: AtomicBool,
@@ -133,7 +133,7 @@
             refusals: Mutex::default(),
             helper_address: OnceLock::new(),
             catalog: Mutex::default(),
-            lease_start_ms: AtomicU64::new(0),
+            confirmation: Mutex::default(),
             has_targets: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             intake_ends_ms: AtomicU64::new(u64::MAX),
@@ -143,16 +143,15 @@
 
     /// Catalog in force; none when its lease has expired.
     pub(super) fn catalog(&self) -> Option<Arc<Catalog>> {
-        let lease_start = Duration::from_millis(self.lease_start_ms.load(Ordering::Relaxed));
-        let is_valid = clock::now() < lease_start + self.catalog_lease;
+        let is_valid = self.is_in_contact(self.catalog_lease);
         let catalog = self.catalog.lock().expect("no panic under this lock");
         catalog.clone().filter(|_| is_valid)
     }
 
     /// Whether the leader has confirmed this gateway's data within `validity`.
     pub(super) fn is_in_contact(&self, validity: Duration) -> bool {
-        let confirmed_at = Duration::from_millis(self.lease_start_ms.load(Ordering::Relaxed));
-        clock::now() < confirmed_at + validity
+        let confirmation = *self.confirmation.lock().expect("no panic under this lock");
+        confirmation.is_some_and(|c| c.is_valid(clock::now(), validity))
     }
 
     /// How to handle a heartbeat that has just arrived.
@@ -171,10 +170,11 @@
         *self.catalog.lock().expect("no panic under this lock") = Some(catalog);
     }
 
-    /// Renews the catalog's lease from `confirmed_at`, a time before the leader stated its version.
-    pub(super) fn renew_lease(&self, confirmed_at: Duration, has_targets: bool) {
-        self.lease_start_ms
-            .fetch_max(confirmed_at.as_millis() as u64, Ordering::Relaxed);
+    /// Renews the catalog's lease from `confirmation` on, which the leader gave before it stated its version.
+    pub(super) fn renew_lease(&self, confirmation: Confirmation, has_targets: bool) {
+        let mut known = self.confirmation.lock().expect("no panic under this lock");
+        *known = known.max(Some(confirmation));
+        drop(known);
         if has_targets {
             self.has_targets.store(true, Ordering::Relaxed);
         }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -17,6 +17,7 @@
 use crate::domain::fleet::Answer;
 use crate::domain::fleet::Call;
 use crate::domain::fleet::Choice;
+use crate::domain::fleet::Confirmation;
 use crate::domain::fleet::Outcome;
 use crate::domain::fleet::Overview;
 use crate::domain::fleet::Place;
@@ -115,15 +116,15 @@
 
 /// Takes over what the leader sent with an overview.
 async fn apply_answer(context: &Context, state: &mut State, sent: &Sent, overview: Overview) -> Outcome {
-    let confirmed_at = sent.at.saturating_sub(Duration::from_millis(overview.age_ms));
+    let confirmation = Confirmation::new(sent.at, Duration::from_millis(overview.age_ms));
     if let Some(compressed) = &overview.catalog {
         apply_catalog(context, state, compressed);
     } else if overview.version > state.version {
         fetch_catalog(context, state).await;
     }
-    let is_applied = apply_overview(context, state, sent, confirmed_at, overview);
+    let is_applied = apply_overview(context, state, sent, confirmation, overview);
     Outcome::Answered {
-        confirmed_at,
+        confirmation,
         is_applied,
     }
 }
@@ -277,13 +278,13 @@
     Catalog::try_from(definition).map_err(|e| e.to_string())
 }
 
-/// Applies the answer to a report, which the leader had confirmed at `confirmed_at`; returns false for one that
-/// must not be applied.
+/// Applies the answer to a report with the leader's `confirmation`; returns false for one that must not be
+/// applied.
 fn apply_overview(
     context: &Context,
     state: &mut State,
     sent: &Sent,
-    confirmed_at: Duration,
+    confirmation: Confirmation,
     overview: Overview,
 ) -> bool {
     // Without the catalog of the overview's version, the lease must not be renewed: the older catalog may
@@ -327,7 +328,7 @@
         balancer.update(clock::now(), &table);
         context.metrics.limited_targets.set(balancer.limited() as i64);
     }
-    context.renew_lease(confirmed_at, has_new_targets);
+    context.renew_lease(confirmation, has_new_targets);
     context
         .controllers
         .set_controllers(&overview.controllers, overview.gateways);
--- a/tests/attachment.rs
+++ b/tests/attachment.rs
@@ -15,6 +15,7 @@
 use heatherramp::domain::fleet::Arrival;
 use heatherramp::domain::fleet::Attachment;
 use heatherramp::domain::fleet::Choice;
+use heatherramp::domain::fleet::Confirmation;
 use heatherramp::domain::fleet::Controller;
 use heatherramp::domain::fleet::Input;
 use heatherramp::domain::fleet::Intake;
@@ -390,7 +391,7 @@
                     let attachment = &mut gateway.attachment;
                     attachment.set_controllers(&overview.controllers, overview.gateways);
                     Outcome::Answered {
-                        confirmed_at: ms(confirmed_at),
+                        confirmation: Confirmation::new(ms(sent_at), ms(overview.age_ms)),
                         is_applied: true,
                     }
                 }
