http1: a status that no answer can have is an error

What callers saw: an upstream in trouble that answers with a status from 600 to 999, or with 101, has this passed on as its answer.

Cause: the client took every head that hyper reads for an answer.

Change: a final status outside 200 to 599, and bytes that hyper refuses to read, are Failure::Invalid: a send that the upstream may have executed.

--- a/src/adapters/http1/client.rs
+++ b/src/adapters/http1/client.rs
@@ -26,6 +26,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use super::head;
 use super::server::set_tcp_options;
 use crate::adapters::clock;
 
@@ -77,8 +78,20 @@
 pub enum Failure {
     /// No byte of the request went out, so it may be sent again.
     Unsent(Cause),
-    /// The request may have gone out; whether the upstream ran it is unknown.
+    /// The connection was lost after the request may have gone out; whether the upstream ran it is unknown.
     Unknown,
+    /// What came is no answer in the protocol; whether the upstream ran the request is unknown.
+    Invalid,
+}
+
+impl From<&hyper::Error> for Failure {
+    fn from(error: &hyper::Error) -> Self {
+        if error.is_parse() {
+            Failure::Invalid
+        } else {
+            Failure::Unknown
+        }
+    }
 }
 
 /// Connection to an upstream, in use by one request at a time; dropping it closes it.
@@ -202,7 +215,7 @@
     ///
     /// # Errors
     ///
-    /// `Unsent` or `Unknown`, by whether the request may have gone out.
+    /// `Unsent` if no byte of the request went out, otherwise `Unknown` or `Invalid`.
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -220,7 +233,7 @@
     ///
     /// # Errors
     ///
-    /// `Unsent` or `Unknown`, by whether the request may have gone out.
+    /// `Unsent` if no byte of the request went out, otherwise `Unknown` or `Invalid`.
     pub async fn send_over(
         &self,
         address: SocketAddr,
@@ -240,16 +253,14 @@
                 Link::Tunnel(stream) => start(address, stream, false).await?,
             },
         };
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok((response, connection)),
-            Err(mut error) => {
-                let unsent = error.take_message().is_some();
-                Err(if unsent {
-                    Failure::Unsent(Cause::Closed)
-                } else {
-                    Failure::Unknown
-                })
-            }
+        let answered = connection.sender.try_send_request(request).await;
+        match answered {
+            Ok(response) if head::is_final(response.status()) => Ok((response, connection)),
+            Ok(_) => Err(Failure::Invalid),
+            Err(mut error) => Err(match error.take_message() {
+                Some(_unsent) => Failure::Unsent(Cause::Closed),
+                None => Failure::from(error.error()),
+            }),
         }
     }
 
--- a/src/adapters/http1/mod.rs
+++ b/src/adapters/http1/mod.rs
@@ -9,6 +9,7 @@
 mod client;
 mod collect;
 mod framing;
+mod head;
 mod limits;
 mod server;
 
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -57,6 +57,11 @@
                 self.end_failed(send, Outcome::Failed, "connection lost");
                 Delivery::Unknown(None)
             }
+            Head::Failed(Failure::Invalid) => {
+                self.runs += 1;
+                self.end_failed(send, Outcome::Failed, "no answer in the protocol");
+                Delivery::Unknown(None)
+            }
         }
     }
 
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -214,7 +214,7 @@
                 send.end(Outcome::Failed);
                 return Ok(None);
             }
-            Err(_) => {
+            Ok(Err(Failure::Invalid)) | Err(_) => {
                 send.end(Outcome::Failed);
                 return Ok(None);
             }
--- /dev/null
+++ b/tests/invalid_answers.rs
@@ -0,0 +1,95 @@
+//! Upstreams in trouble whose answers are none in the protocol, or never come to an end.
+
+mod site;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use site::Site;
+use site::raw::Step;
+use site::raw::answer_head;
+use site::raw::send;
+use site::raw::site_with_raw_upstreams;
+
+/// Script that answers only the requests of every second send with `steps`, so that another send can help.
+fn alternating(
+    steps: impl Fn(&str) -> Vec<Step> + Clone + Send + Sync + 'static,
+) -> impl Fn(&str) -> Vec<Step> + Clone + Send + Sync + 'static {
+    let sends = Arc::new(AtomicUsize::new(0));
+    move |head| {
+        let is_faulty = !head.contains("/lookup/") || sends.fetch_add(1, Ordering::Relaxed).is_multiple_of(2);
+        match is_faulty {
+            true => steps(head),
+            false => vec![Step::Send(format!(
+                "{}content-length: 2\r\n\r\nok",
+                answer_head(head)
+            ))],
+        }
+    }
+}
+
+/// Part of a path that selects the case of a script.
+fn case_number(head: &str) -> usize {
+    let path = head.split(' ').nth(1).unwrap();
+    path.rsplit('/').next().unwrap().parse().unwrap()
+}
+
+/// Sends the requests of all cases. What may be repeated must be answered by another target, as far as the retry
+/// budget goes, and all else by an error.
+async fn assert_errors(site: &Site, cases: usize) {
+    let repeated = cases.div_ceil(16);
+    for case in 0..cases {
+        for route in ["lookup", "once", "stream"] {
+            if route == "lookup" && case % repeated != 0 {
+                continue;
+            }
+            let answer = send(site, &format!("/{route}/{case}")).await;
+            let status = answer.as_ref().map(|(status, _)| *status);
+            match route {
+                "lookup" => assert_eq!(status, Some(200), "case {case}"),
+                _ => assert!(
+                    matches!(status, Some(502 | 504)),
+                    "case {case} of {route}: {answer:?}"
+                ),
+            }
+        }
+    }
+}
+
+/// Guards against statuses that are passed on although no answer can have them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_status_that_no_answer_can_have_is_an_error() {
+    const STATUSES: [&str; 13] = [
+        "000", "007", "099", "600", "700", "999", "20", "2", "2000", "abc", "-20", "101", "",
+    ];
+    let script = |head: &str| {
+        let status = STATUSES[case_number(head)];
+        let head = answer_head(head).replace("HTTP/1.1 200 OK", &format!("HTTP/1.1 {status} Text"));
+        vec![Step::Send(format!("{head}content-length: 4\r\n\r\nbody"))]
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(151, alternating(script)).await;
+    assert_errors(&site, STATUSES.len()).await;
+}
+
+/// Guards against an answer that is made up from a head that was broken off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_that_is_broken_off_is_an_error() {
+    let head_of = |head: &str, is_framed: bool| match is_framed {
+        true => format!("{}content-length: 4\r\n", answer_head(head)),
+        false => answer_head(head),
+    };
+    let cases = 2 * head_of("x-attempt-id: a1", true).len();
+    let script = move |head: &str| {
+        let case = case_number(head);
+        let (cut, is_reset) = (case / 2, case % 2 == 1);
+        let answer = head_of(head, cut % 2 == 0);
+        let end = if is_reset { Step::Reset } else { Step::Close };
+        let cut = cut.min(answer.len() + 1);
+        let answer = format!("{answer}\r\n")[..cut].to_owned();
+        vec![Step::Send(answer), Step::Pause(Duration::from_millis(1)), end]
+    };
+    let (site, _upstreams) = site_with_raw_upstreams(152, alternating(script)).await;
+    assert_errors(&site, cases).await;
+}
