http1: bytes before the head of an answer are limited

What callers saw: an upstream in trouble sends interim answers without end. Its request is answered 504 after 7.95 s with a deadline of 4 s, and the gateway refuses all others, as it has lost its controller meanwhile.

Cause: hyper skips any number of interim answers within one call, on the only thread of the gateway. Memory was bounded.

Change: reads of a connection fail after 64 KiB between a request and the head of its answer. Buffers of connections to upstreams are at most 64 KiB.

--- a/src/adapters/http1/client.rs
+++ b/src/adapters/http1/client.rs
@@ -27,6 +27,8 @@
 use tokio::time::timeout;
 
 use super::head;
+use super::head::Allowance;
+use super::head::Limited;
 use super::server::set_tcp_options;
 use crate::adapters::clock;
 
@@ -35,6 +37,8 @@
 /// Time after which an idle connection is not used again. Upstreams close theirs later, so a
 /// request rarely meets a connection that is being closed.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Bytes of an answer that a connection holds before they are taken. Memory budgets do not include them.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Idle connections kept for one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 8;
 
@@ -86,7 +90,10 @@
 
 impl From<&hyper::Error> for Failure {
     fn from(error: &hyper::Error) -> Self {
-        if error.is_parse() {
+        let source = std::error::Error::source(error);
+        let io_error = source.and_then(|e| e.downcast_ref::<io::Error>());
+        let is_endless = io_error.is_some_and(|e| e.kind() == io::ErrorKind::InvalidData);
+        if error.is_parse() || is_endless {
             Failure::Invalid
         } else {
             Failure::Unknown
@@ -105,6 +112,7 @@
     is_reusable: bool,
     /// Whether an earlier request has used the connection.
     is_reused: bool,
+    allowance: Allowance,
 }
 
 impl Connection {
@@ -253,7 +261,9 @@
                 Link::Tunnel(stream) => start(address, stream, false).await?,
             },
         };
+        connection.allowance.limit();
         let answered = connection.sender.try_send_request(request).await;
+        connection.allowance.lift();
         match answered {
             Ok(response) if head::is_final(response.status()) => Ok((response, connection)),
             Ok(_) => Err(Failure::Invalid),
@@ -304,7 +314,15 @@
 where
     T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let allowance = Allowance::default();
+    let limited = Limited {
+        stream,
+        allowance: allowance.clone(),
+    };
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(limited))
+        .await;
     let (sender, io) = handshake.map_err(|_| Failure::Unsent(Cause::Closed))?;
     // An error of the connection is also returned by the request that uses it.
     let io_task = tokio::spawn(async move {
@@ -316,6 +334,7 @@
         io_task: io_task.abort_handle(),
         is_reusable,
         is_reused: false,
+        allowance,
     })
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,7 +21,7 @@
 /// What came of a send.
 pub(super) enum Head {
     /// Head of an answer, with its connection.
-    Arrived(Response<Incoming>, Connection),
+    Arrived(Box<Response<Incoming>>, Connection),
     /// The connection failed.
     Failed(Failure),
     /// No head came before the deadline.
@@ -49,7 +49,7 @@
         let upstreams = &send.context.upstreams;
         let sending = upstreams.send_over(address, outgoing, needs_new_connection, opening);
         let head = match timeout(time_left, sending).await {
-            Ok(Ok((response, connection))) => Head::Arrived(response, connection),
+            Ok(Ok((response, connection))) => Head::Arrived(Box::new(response), connection),
             Ok(Err(failure)) => Head::Failed(failure),
             Err(_) => Head::Late,
         };
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -39,7 +39,7 @@
     /// Handles the head of an answer, or its absence.
     pub(super) async fn read_head(&mut self, send: Send, head: Head) -> Delivery {
         match head {
-            Head::Arrived(response, connection) => self.read_response(response, connection, send).await,
+            Head::Arrived(response, connection) => self.read_response(*response, connection, send).await,
             Head::Late => {
                 self.runs += 1;
                 self.end_failed(send, Outcome::Stalled, "no answer in time");
--- a/tests/invalid_answers.rs
+++ b/tests/invalid_answers.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use site::Site;
 use site::raw::Step;
@@ -13,6 +14,9 @@
 use site::raw::send;
 use site::raw::site_with_raw_upstreams;
 
+/// Bytes that count as read: those of the largest answer, and what sockets and buffers hold.
+const MAX_BYTES_READ: usize = 32 << 20;
+
 /// Script that answers only the requests of every second send with `steps`, so that another send can help.
 fn alternating(
     steps: impl Fn(&str) -> Vec<Step> + Clone + Send + Sync + 'static,
@@ -93,3 +97,61 @@
     let (site, _upstreams) = site_with_raw_upstreams(152, alternating(script)).await;
     assert_errors(&site, cases).await;
 }
+
+/// Guards against parts of an answer that have no end and grow in memory, or hold a request beyond its time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_without_end_costs_one_attempt() {
+    // Start of the answer, "{head}" for the head of a signed one, and what follows again and again.
+    const CASES: [(&str, &str); 11] = [
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("", "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"),
+        ("", "\r\n"),
+        ("", "no answer "),
+        ("HTTP/1.1 200 ", "text "),
+        ("HTTP/1.1 200 OK\r\n", "x-field: value\r\n"),
+        ("HTTP/1.1 200 OK\r\nx-field: ", "value "),
+        ("{head}transfer-encoding: chunked\r\n\r\n", "0"),
+        ("{head}transfer-encoding: chunked\r\n\r\n1;", "extension "),
+        (
+            "{head}transfer-encoding: chunked\r\n\r\n0\r\n",
+            "x-trailer: value\r\n",
+        ),
+        ("{head}transfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+    ];
+    let script = |head: &str| {
+        let (start, text) = CASES[case_number(head)];
+        let start = start.replace("{head}", &answer_head(head));
+        let repeats = 8_192 / text.len();
+        vec![
+            Step::Send(start),
+            Step::SendWithoutEnd(text.repeat(repeats), Duration::ZERO),
+        ]
+    };
+    let (site, upstreams) = site_with_raw_upstreams(153, alternating(script)).await;
+    for (case, (start, text)) in CASES.iter().enumerate() {
+        for route in ["lookup", "once"] {
+            let context = format!("{route} {start:?} {text:?}");
+            upstreams.iter().for_each(|u| *u.bytes_sent.lock().unwrap() = 0);
+            let started = Instant::now();
+            let path = format!("/{route}/{case}");
+            let bystander = async {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                let answer = send(&site, "/orders/1").await;
+                (answer.map(|(status, _)| status), started.elapsed())
+            };
+            let (answer, (other_status, other_took)) = tokio::join!(send(&site, &path), bystander);
+            let sent: usize = upstreams.iter().map(|u| *u.bytes_sent.lock().unwrap()).sum();
+            let status = answer.map(|(status, _)| status);
+            let is_expected = match route {
+                "lookup" => matches!(status, Some(200 | 502 | 504)),
+                _ => matches!(status, Some(502 | 504)),
+            };
+            assert!(is_expected, "{context}: {status:?}");
+            // The deadline is 4 s.
+            assert!(started.elapsed() < Duration::from_secs(5), "{context}");
+            assert!(sent < MAX_BYTES_READ, "{context}: {sent} bytes were read");
+            assert_eq!(other_status, Some(200), "{context}: another request");
+            assert!(other_took < Duration::from_secs(2), "{context}: {other_took:?}");
+        }
+    }
+}
