gateway: a planned stop answers what it accepts

What callers saw: in a planned stop, requests whose time limit exceeds what is left of the grace period are passed on and cut at its end without an answer, also those that may not be repeated.

Cause: any request whose head arrived in the first 36 % of the grace period was accepted, and nothing answered what was in progress at the exit.

What may not be repeated is begun only if its caller stops waiting before the last answers; the intake is judged again after the body; deadlines of all others end with the last answers; what is in progress then gets 503 if nothing may have run it, else 504.

--- a/src/domain/gateway/mod.rs
+++ b/src/domain/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod refusals;
 mod settings;
 mod steer;
+mod stop;
 mod tracker;
 
 pub use admission::Admission;
@@ -35,3 +36,4 @@
 pub use reach::Way;
 pub use refusals::Refusals;
 pub use settings::Settings;
+pub use stop::Stop;
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -24,6 +24,7 @@
 use crate::adapters::http1::Peer;
 use crate::adapters::http1::UnreadBody;
 use crate::domain::catalog::Access;
+use crate::domain::catalog::Repeat;
 use crate::domain::catalog::Route;
 use crate::domain::quarantine::fingerprint;
 use crate::logging;
@@ -89,9 +90,6 @@
             must_close: false,
         })
     };
-    if context.is_intake_closed() {
-        return refuse(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
-    }
     let Some(catalog) = context.catalog() else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration in force");
     };
@@ -113,6 +111,14 @@
         );
     }
     let deadline = deadline(&head.headers, &route, started);
+    let is_repeatable = route.repeat != Repeat::Once;
+    let is_accepted = || {
+        let stop = context.stop();
+        stop.is_none_or(|stop| stop.accepts(clock::now(), deadline, is_repeatable))
+    };
+    if !is_accepted() {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, dispatch::STOP_REASON);
+    }
     let peer = head.extensions.get::<Peer>().map(|peer| peer.0.to_string());
     let owner = account.clone().or(peer).unwrap_or_default();
     let body = intake::read_body(context, body, limits.body_bytes, owner, deadline).await;
@@ -121,6 +127,12 @@
         reason,
         must_close: true,
     })?;
+    if !is_accepted() {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, dispatch::STOP_REASON);
+    }
+    let deadline = context
+        .stop()
+        .map_or(deadline, |stop| deadline.min(stop.answers_end));
     let service = draw_service(&route);
     let path = head.uri.path_and_query().cloned();
     let model = header_text(&head.headers, platform_header::MODEL).map(str::to_owned);
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -8,7 +8,6 @@
 use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -34,6 +33,7 @@
 use crate::domain::gateway::Reach;
 use crate::domain::gateway::Refusals;
 use crate::domain::gateway::Settings;
+use crate::domain::gateway::Stop;
 use crate::domain::quarantine::Evidence;
 use crate::domain::quarantine::Observations;
 use crate::domain::quarantine::is_fingerprint;
@@ -89,9 +89,10 @@
     confirmation: Mutex<Option<Confirmation>>,
     /// Whether the leader has ever sent targets.
     has_targets: AtomicBool,
-    draining: AtomicBool,
-    /// Time from which a draining gateway refuses requests, in milliseconds of the process's clock.
-    intake_ends_ms: AtomicU64,
+    /// Schedule of the planned stop, once it has begun.
+    stop: OnceLock<Stop>,
+    /// Notified when it begins.
+    stop_begun: Notify,
     /// Time after a report during which the catalog may be used.
     catalog_lease: Duration,
 }
@@ -135,8 +136,8 @@
             catalog: Mutex::default(),
             confirmation: Mutex::default(),
             has_targets: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
-            intake_ends_ms: AtomicU64::new(u64::MAX),
+            stop: OnceLock::new(),
+            stop_begun: Notify::new(),
             catalog_lease: revocation_time.saturating_sub(LEASE_MARGIN),
         }
     }
@@ -186,19 +187,31 @@
     }
 
     pub(super) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.stop.get().is_some()
     }
 
-    /// Withdraws readiness now and refuses requests from `intake_ends` on.
-    pub(super) fn start_draining(&self, intake_ends: Duration) {
-        self.intake_ends_ms
-            .store(intake_ends.as_millis() as u64, Ordering::Relaxed);
-        self.draining.store(true, Ordering::Relaxed);
+    /// Withdraws readiness and begins the planned stop.
+    pub(super) fn start_draining(&self, stop: Stop) {
+        // A stop begins once.
+        let _ = self.stop.set(stop);
+        self.stop_begun.notify_waiters();
     }
 
-    /// Whether requests are refused because the process is about to end.
-    pub(super) fn is_intake_closed(&self) -> bool {
-        clock::now().as_millis() as u64 >= self.intake_ends_ms.load(Ordering::Relaxed)
+    /// Schedule of the planned stop, if it has begun.
+    pub(super) fn stop(&self) -> Option<&Stop> {
+        self.stop.get()
+    }
+
+    /// Returns when requests that are still in progress must be answered, since the process is about to end.
+    pub(super) async fn answers_ended(&self) {
+        // Created before the check, so that a stop that begins during it is not missed.
+        let begun = self.stop_begun.notified();
+        if self.stop.get().is_none() {
+            begun.await;
+        }
+        if let Some(stop) = self.stop.get() {
+            tokio::time::sleep(stop.answers_end.saturating_sub(clock::now())).await;
+        }
     }
 
     pub(super) fn balancer(&self) -> MutexGuard<'_, Balancer> {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -50,6 +50,9 @@
 /// Shortest time to the deadline for which a send is worth the work that it causes.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
+/// Reason of refusals and errors during a planned stop.
+pub(super) const STOP_REASON: &str = "shutting down";
+
 /// Sends a request to targets until there is a final answer.
 pub(super) async fn run(context: Arc<Context>, request: Request) -> Response<Body> {
     let Some(service) = request.catalog.service(&request.service).cloned() else {
@@ -63,7 +66,10 @@
         record_demand(&context, &request, &service);
     }
     let mut dispatch = Dispatch::new(&context, &request, &service);
-    let response = dispatch.run().await;
+    let response = tokio::select! {
+        response = dispatch.run() => response,
+        () = context.answers_ended() => dispatch.end_early(),
+    };
     log_request_ended(&request, &dispatch, response.status());
     let label = response.status().as_str().to_owned();
     let labels = [service.name.as_str(), label.as_str()];
@@ -142,6 +148,9 @@
                     return self.refuse(reason, until_room);
                 }
             };
+            if !self.may_begin() {
+                return self.refuse(STOP_REASON, Duration::ZERO);
+            }
             match self.send(target).await {
                 Delivery::Answer(response) => return response,
                 Delivery::Stream(response, connection, send) => {
@@ -165,6 +174,23 @@
         }
     }
 
+    /// Whether the planned stop of this gateway, if it has begun, leaves time for another send.
+    fn may_begin(&self) -> bool {
+        let (deadline, is_repeatable) = (self.request.deadline, self.request.is_repeatable());
+        let stop = self.context.stop();
+        stop.is_none_or(|stop| stop.may_begin(deadline, is_repeatable))
+    }
+
+    /// Final answer to a request that is in progress when the process is about to end.
+    fn end_early(&mut self) -> Response<Body> {
+        if self.tried.len() == self.unexecuted {
+            return self.refuse(STOP_REASON, Duration::ZERO);
+        }
+        // Sends in progress are counted only once they have ended.
+        self.runs = self.runs.max(1);
+        self.give_up(StatusCode::GATEWAY_TIMEOUT, STOP_REASON)
+    }
+
     /// Whether limits allow another send; if so, takes a retry out of the budget.
     fn may_send_again(&self) -> bool {
         if self.runs >= self.request.route.max_sends || self.unexecuted >= MAX_UNEXECUTED_SENDS {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -27,18 +27,13 @@
 use crate::adapters::quic::Credentials;
 use crate::adapters::quic::Pool;
 use crate::domain::fleet::Place;
+use crate::domain::gateway::Stop;
 use crate::logging;
 use crate::settings::Gateway;
 
 /// Time until the load balancer in front has stopped sending connections to a gateway that is not
 /// ready: two health checks one second apart, and time for connections on their way.
 const READINESS_DELAY: Duration = Duration::from_millis(3_200);
-/// Fraction of the grace period in which requests are still accepted, meant to last until the load
-/// balancer has stopped sending connections: 2.9 s of the default 8 s. The accepted requests have the
-/// rest to end.
-const INTAKE_FRACTION: f64 = 0.36;
-/// Time at the end of the grace period that is left for the process to exit.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Interval between checks for open connections during a shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -148,17 +143,16 @@
             ("program", "gateway".into()),
             ("connections", (self.server.open_connections() as u64).into()),
         ]);
-        self.context
-            .start_draining(started + self.grace_period.mul_f64(INTAKE_FRACTION));
+        let stop = Stop::new(started, self.grace_period);
+        self.context.start_draining(stop);
         self.server.close_after_answers();
-        let exit_at = started + self.grace_period.saturating_sub(EXIT_MARGIN);
         loop {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
             let now = clock::now();
             let is_idle =
                 self.server.open_connections() == 0 && self.context.tunnels.load(Ordering::Relaxed) == 0;
             let is_drained = is_idle && now > started + READINESS_DELAY;
-            if is_drained || now >= exit_at {
+            if is_drained || now >= stop.exit {
                 break;
             }
         }
