upstream: the front end's client shares the checks of http1::Client

What callers saw: the product's own front end passed on statuses from 600 to 999 as well, took a status that it could not send for 200, and read interim answers without end until the time limit.

Cause: it called upstreams by a second client, without the checks of the first one.

Change: upstream::Client is built on http1::Client. A status outside 200 to 599 is sent as 502.

A head that stops half way was an error before.

--- a/src/adapters/http/response.rs
+++ b/src/adapters/http/response.rs
@@ -14,7 +14,7 @@
 
 /// Response to a caller.
 pub struct Response {
-    /// HTTP status code; one outside 100 to 999 is sent as 200.
+    /// HTTP status code; one outside 200 to 599 is sent as 502.
     pub status: u16,
     /// Names and values of headers; of a repeated name only the last is sent, and invalid ones are
     /// omitted.
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -109,7 +109,9 @@
         }
     };
     let mut converted = http::Response::new(body);
-    *converted.status_mut() = http::StatusCode::from_u16(response.status).unwrap_or_default();
+    let status = http::StatusCode::from_u16(response.status).ok();
+    let status = status.filter(|status| http1::is_final(*status));
+    *converted.status_mut() = status.unwrap_or(http::StatusCode::BAD_GATEWAY);
     for (name, value) in response.headers {
         let pair = (HeaderName::try_from(name), HeaderValue::try_from(value));
         if let (Ok(name), Ok(value)) = pair {
--- a/src/adapters/http1/client.rs
+++ b/src/adapters/http1/client.rs
@@ -32,7 +32,7 @@
 use super::server::set_tcp_options;
 use crate::adapters::clock;
 
-/// Longest wait for the TCP connection.
+/// Longest wait for the TCP connection, unless a dialer has another limit.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which an idle connection is not used again. Upstreams close theirs later, so a
 /// request rarely meets a connection that is being closed.
@@ -154,6 +154,8 @@
 #[derive(Clone)]
 pub struct Dialer {
     open: Arc<Open>,
+    /// Longest wait for a connection.
+    timeout: Duration,
 }
 
 impl fmt::Debug for Dialer {
@@ -174,7 +176,15 @@
     where
         F: Fn(SocketAddr) -> BoxFuture<'static, io::Result<TcpStream>> + Send + Sync + 'static,
     {
-        Dialer { open: Arc::new(open) }
+        Dialer {
+            open: Arc::new(open),
+            timeout: CONNECT_TIMEOUT,
+        }
+    }
+
+    /// The same dialer with another time limit for connecting.
+    pub fn with_timeout(self, timeout: Duration) -> Self {
+        Dialer { timeout, ..self }
     }
 
     /// Opens a connection to `address` within the time limit for connecting.
@@ -183,7 +193,7 @@
     ///
     /// The I/O error of the connection; `TimedOut` after the time limit.
     pub async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
-        let stream = timeout(CONNECT_TIMEOUT, (self.open)(address)).await??;
+        let stream = timeout(self.timeout, (self.open)(address)).await??;
         set_tcp_options(&stream);
         Ok(stream)
     }
--- a/src/adapters/http1/head.rs
+++ b/src/adapters/http1/head.rs
@@ -52,7 +52,7 @@
 }
 
 /// Whether a final answer can have this status; 101 is one only for a caller that has asked for it.
-pub(super) fn is_final(status: StatusCode) -> bool {
+pub fn is_final(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
 }
 
--- a/src/adapters/http1/mod.rs
+++ b/src/adapters/http1/mod.rs
@@ -27,6 +27,7 @@
 pub use collect::collect;
 pub use collect::collect_held;
 pub use framing::Framing;
+pub use head::is_final;
 pub use limits::Limits;
 pub use limits::max_connections;
 pub use server::Peer;
--- a/src/adapters/upstream/generate.rs
+++ b/src/adapters/upstream/generate.rs
@@ -4,15 +4,13 @@
 
 use bytes::Bytes;
 use http::Method;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde::Deserialize;
-use tokio::time::timeout;
 
 use super::Client;
 use super::Error;
 use super::client::Call;
-use super::client::collect;
+use super::client::MAX_REPLY_BYTES;
+use super::client::Response;
 
 /// HTTP status by which an engine refuses a call with another fencing token than its own.
 const WRONG_FENCE_STATUS: u16 = 409;
@@ -54,7 +52,7 @@
 /// Stream of tokens, which checks that they belong to the request and are in order.
 #[derive(Debug)]
 pub struct Generation {
-    body: Incoming,
+    response: Response,
     /// Received bytes that make no whole event yet.
     buffer: Vec<u8>,
     id: String,
@@ -86,16 +84,16 @@
         is_sent_once: true,
     };
     let response = client.send(call, prompt.stall_timeout).await?;
-    let status = response.status().as_u16();
+    let status = response.status.as_u16();
     if status == WRONG_FENCE_STATUS || status == OVERLOADED_STATUS {
         return Err(Error::Refused(status));
     }
     if status != 200 {
-        let text = collect(response.into_body(), prompt.stall_timeout).await?;
+        let text = response.collect(MAX_REPLY_BYTES, prompt.stall_timeout).await?;
         return Err(Error::Status(status, String::from_utf8_lossy(&text).into_owned()));
     }
     Ok(Generation {
-        body: response.into_body(),
+        response,
         buffer: Vec::new(),
         id: prompt.id.to_owned(),
         next_offset: prompt.resume,
@@ -126,14 +124,9 @@
             if self.buffer.len() > MAX_EVENT_BYTES {
                 return Err(Error::Broken);
             }
-            match timeout(self.stall_timeout, self.body.frame()).await {
-                Err(_) => return Err(Error::Timeout),
-                Ok(None) | Ok(Some(Err(_))) => return Err(Error::Broken),
-                Ok(Some(Ok(frame))) => {
-                    let chunk = frame.into_data().unwrap_or_default();
-                    self.buffer.extend_from_slice(&chunk);
-                }
-            }
+            let frame = self.response.next_frame(self.stall_timeout).await?;
+            let chunk = frame.ok_or(Error::Broken)?.into_data().unwrap_or_default();
+            self.buffer.extend_from_slice(&chunk);
         }
     }
 }
--- a/src/adapters/upstream/order.rs
+++ b/src/adapters/upstream/order.rs
@@ -8,7 +8,7 @@
 use super::Client;
 use super::Error;
 use super::client::Call;
-use super::client::collect;
+use super::client::MAX_REPLY_BYTES;
 use crate::domain::placement::Order;
 
 /// Longest wait for the head of the answer, and between its parts.
@@ -52,8 +52,8 @@
         is_sent_once: true,
     };
     let response = client.send(call, ANSWER_TIMEOUT).await?;
-    let status = response.status().as_u16();
-    collect(response.into_body(), ANSWER_TIMEOUT).await?;
+    let status = response.status.as_u16();
+    response.collect(MAX_REPLY_BYTES, ANSWER_TIMEOUT).await?;
     if status == 200 {
         Ok(())
     } else {
--- a/src/adapters/upstream/report.rs
+++ b/src/adapters/upstream/report.rs
@@ -8,7 +8,7 @@
 use super::Client;
 use super::Error;
 use super::client::Call;
-use super::client::collect;
+use super::client::MAX_REPLY_BYTES;
 use crate::domain::membership::Report;
 
 /// Fetches the report of the upstream at `address`.
@@ -28,6 +28,9 @@
         is_sent_once: false,
     };
     let response = client.send(call, stall_timeout).await?;
-    let body = collect(response.into_body(), stall_timeout).await?;
+    if !response.status.is_success() {
+        return Err(Error::Refused(response.status.as_u16()));
+    }
+    let body = response.collect(MAX_REPLY_BYTES, stall_timeout).await?;
     serde_json::from_slice(&body).map_err(|_| Error::Broken)
 }
--- a/src/adapters/upstream/service.rs
+++ b/src/adapters/upstream/service.rs
@@ -8,7 +8,7 @@
 use super::Client;
 use super::Error;
 use super::client::Call;
-use super::client::collect;
+use super::client::MAX_ANSWER_BYTES;
 
 /// Request to a service.
 #[derive(Debug)]
@@ -59,15 +59,15 @@
         is_sent_once: true,
     };
     let response = client.send(call, request.stall_timeout).await?;
-    let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
-    if header("x-request-id") != Some(request.id) {
+    if response.header("x-request-id") != Some(request.id) {
         return Err(Error::Mismatch);
     }
-    let content_type = header("content-type")
+    let content_type = response
+        .header("content-type")
         .unwrap_or("application/octet-stream")
         .to_owned();
-    let status = response.status().as_u16();
-    let body = collect(response.into_body(), request.stall_timeout).await?;
+    let status = response.status.as_u16();
+    let body = response.collect(MAX_ANSWER_BYTES, request.stall_timeout).await?;
     Ok(Answer {
         status,
         content_type,
--- /dev/null
+++ b/tests/service_answers.rs
@@ -0,0 +1,146 @@
+//! Upstreams of the product's own front end whose answers are none in the protocol, or have no end.
+
+mod site;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use heatherramp::adapters::upstream;
+use http::Method;
+use site::raw::Step;
+use site::raw::Upstream;
+use site::raw::header;
+use tokio::time::timeout;
+
+/// Longest pause within an answer.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bytes that count as read: those of the largest answer, and what sockets and buffers hold.
+const MAX_BYTES_READ: usize = 32 << 20;
+
+/// Calls a service, an engine, and for a report; returns what is taken for an answer in each case.
+async fn call(upstream: &Upstream) -> [Option<String>; 3] {
+    let client = upstream::Client::default();
+    let address = upstream.address.to_string();
+    let request = upstream::Request {
+        address: &address,
+        id: "id",
+        method: Method::POST,
+        path: "/service",
+        content_type: "text/plain",
+        body: Bytes::from_static(b"body"),
+        stall_timeout: STALL_TIMEOUT,
+    };
+    let prompt = upstream::Prompt {
+        address: &address,
+        id: "id",
+        group: 1,
+        fence: 1,
+        body: Bytes::from_static(b"{}"),
+        resume: 0,
+        stall_timeout: STALL_TIMEOUT,
+    };
+    let generation = async {
+        let mut generation = upstream::generate(&client, prompt).await?;
+        while generation.next().await?.is_some() {}
+        Ok::<(), upstream::Error>(())
+    };
+    let service = upstream::call_service(&client, request).await;
+    let generation = generation.await;
+    let report = upstream::fetch_report(&client, &address, STALL_TIMEOUT).await;
+    [
+        service.ok().map(|answer| format!("{answer:?}")),
+        generation.ok().map(|()| "whole generation".to_owned()),
+        report.ok().map(|report| format!("{report:?}")),
+    ]
+}
+
+/// Head of an answer with `status`, without framing and without its last line.
+fn head_with(status: &str, request: &str) -> String {
+    let id = header(request, "x-request-id").unwrap_or_default();
+    format!("HTTP/1.1 {status} Text\r\nx-request-id: {id}\r\n")
+}
+
+/// Body that each of the calls takes for a whole one.
+fn body_for(request: &str) -> String {
+    match request.starts_with("get /report") {
+        true => serde_json::to_string(&heatherramp::domain::membership::Report::default()).unwrap(),
+        false => "data: [DONE]\n\n".to_owned(),
+    }
+}
+
+/// Guards against statuses that are passed on, or taken for success, although no answer can have them.
+#[tokio::test]
+async fn a_status_that_no_answer_can_have_is_an_error() {
+    for status in ["000", "099", "600", "999", "20", "2000", "abc", "101", "200"] {
+        let script = move |request: &str| {
+            let (head, body) = (head_with(status, request), body_for(request));
+            vec![
+                Step::Send(format!("{head}content-length: {}\r\n\r\n{body}", body.len())),
+                Step::Close,
+            ]
+        };
+        let upstream = Upstream::start(script).await;
+        let answers = call(&upstream).await;
+        let is_expected = |answer: &Option<String>| answer.is_some() == (status == "200");
+        assert!(answers.iter().all(is_expected), "{status}: {answers:?}");
+    }
+}
+
+/// Guards against an answer that is made up from a head that was broken off.
+#[tokio::test]
+async fn a_head_that_is_broken_off_is_an_error() {
+    let whole = |request: &str| format!("{}content-length: 0\r\n", head_with("200", request));
+    for cut in 0..=whole("x-request-id: id").len() {
+        for end in [Step::Close, Step::Reset] {
+            let script = move |request: &str| {
+                let head = whole(request);
+                let text = head[..cut.min(head.len())].to_owned();
+                vec![
+                    Step::Send(text),
+                    Step::Pause(Duration::from_millis(1)),
+                    end.clone(),
+                ]
+            };
+            let upstream = Upstream::start(script).await;
+            let answers = call(&upstream).await;
+            assert!(answers.iter().all(Option::is_none), "{cut}: {answers:?}");
+        }
+    }
+}
+
+/// Guards against parts of an answer that have no end and hold the processor, memory or a call for long.
+#[tokio::test]
+async fn an_answer_without_end_is_given_up() {
+    // What follows the head of an answer, which is left out if it follows none, again and again.
+    let cases = [
+        (None, "HTTP/1.1 100 Continue\r\n\r\n"),
+        (None, "\r\n"),
+        (None, "no answer "),
+        (Some(""), "x-field: value\r\n"),
+        (Some("transfer-encoding: chunked\r\n\r\n"), "0"),
+        (Some("transfer-encoding: chunked\r\n\r\n1;"), "extension "),
+        (
+            Some("transfer-encoding: chunked\r\n\r\n0\r\n"),
+            "x-trailer: value\r\n",
+        ),
+        (Some("\r\n"), "data: text without an end of its event "),
+    ];
+    for (start, text) in cases {
+        let script = move |request: &str| {
+            let head = start.map(|start| format!("{}{start}", head_with("200", request)));
+            vec![
+                Step::Send(head.unwrap_or_default()),
+                Step::SendWithoutEnd(text.repeat(8_192 / text.len()), Duration::ZERO),
+            ]
+        };
+        let upstream = Upstream::start(script).await;
+        let started = Instant::now();
+        let answers = timeout(Duration::from_secs(10), call(&upstream)).await;
+        let sent = *upstream.bytes_sent.lock().unwrap();
+        println!("{start:?} {text:?}: {:?}, {sent} bytes", started.elapsed());
+        let answers = answers.expect("an end");
+        assert!(answers.iter().all(Option::is_none), "{text}: {answers:?}");
+        assert!(sent < MAX_BYTES_READ, "{text}: {sent} bytes were read");
+    }
+}
