entry: answers of services have a time limit and count in the memory budget

Change: call_service charges the budget for the body and has the time limit of the call. Without room the call ends as unknown; the replica stays open.

--- a/src/adapters/upstream/client.rs
+++ b/src/adapters/upstream/client.rs
@@ -21,6 +21,8 @@
 use crate::adapters::http1::Connection;
 use crate::adapters::http1::Dialer;
 use crate::adapters::http1::Failure;
+use crate::adapters::http1::Incomplete;
+use crate::adapters::memory::Hold;
 
 /// Longest wait for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -145,6 +147,23 @@
         }
     }
 
+    /// Reads the body to its end as [`Response::collect`] does, and charges `hold` for it until it is dropped.
+    pub(super) async fn collect_held(
+        mut self,
+        max_bytes: usize,
+        stall_timeout: Duration,
+        hold: Hold,
+    ) -> Result<Bytes, Error> {
+        let body = http1::collect_held(&mut self.body, max_bytes, stall_timeout, hold).await;
+        let body = body.map_err(|incomplete| match incomplete {
+            Incomplete::Stalled => Error::Timeout,
+            Incomplete::Truncated | Incomplete::TooLarge => Error::Broken,
+            Incomplete::Shortage => Error::Shortage,
+        })?;
+        self.connections.return_connection(self.connection);
+        Ok(body)
+    }
+
     /// Reads the body to its end; it has at most `max_bytes`, and each part must come within `stall_timeout`.
     pub(super) async fn collect(mut self, max_bytes: usize, stall_timeout: Duration) -> Result<Bytes, Error> {
         let mut whole = Vec::new();
--- a/src/adapters/upstream/error.rs
+++ b/src/adapters/upstream/error.rs
@@ -13,6 +13,8 @@
     Status(u16, String),
     /// The connection or the answer broke off, or the answer is unreadable or too large.
     Broken,
+    /// The memory budget has no room for the answer.
+    Shortage,
     /// The answer, or a part of it, did not come in time.
     Timeout,
     /// The answer belongs to another request, or has a gap or a repeat.
@@ -26,6 +28,7 @@
             Error::Refused(status) => write!(f, "the upstream refused the call with status {status}"),
             Error::Status(status, _) => write!(f, "the upstream answered with status {status}"),
             Error::Broken => f.write_str("the answer of the upstream broke off"),
+            Error::Shortage => f.write_str("there is no memory for the answer of the upstream"),
             Error::Timeout => f.write_str("the upstream has been silent for too long"),
             Error::Mismatch => f.write_str("the answer does not belong to the request"),
         }
--- a/src/adapters/upstream/service.rs
+++ b/src/adapters/upstream/service.rs
@@ -4,11 +4,13 @@
 
 use bytes::Bytes;
 use http::Method;
+use tokio::time::timeout;
 
 use super::Client;
 use super::Error;
 use super::client::Call;
 use super::client::MAX_ANSWER_BYTES;
+use crate::adapters::memory::Hold;
 
 /// Request to a service.
 #[derive(Debug)]
@@ -27,6 +29,10 @@
     pub body: Bytes,
     /// Longest wait for the head of the answer, and between two parts of it.
     pub stall_timeout: Duration,
+    /// Longest time for the whole answer.
+    pub time_limit: Duration,
+    /// Holding that the answer is charged to, until it is dropped.
+    pub hold: Hold,
 }
 
 /// Whole answer of a service.
@@ -47,6 +53,13 @@
 /// `NotSent` when no byte was sent; after any other error the service may have run the request.
 /// `Mismatch` when the answer belongs to another request.
 pub async fn call_service(client: &Client, request: Request<'_>) -> Result<Answer, Error> {
+    let time_limit = request.time_limit;
+    timeout(time_limit, exchange(client, request))
+        .await
+        .unwrap_or(Err(Error::Timeout))
+}
+
+async fn exchange(client: &Client, request: Request<'_>) -> Result<Answer, Error> {
     let call = Call {
         method: request.method,
         address: request.address,
@@ -67,7 +80,9 @@
         .unwrap_or("application/octet-stream")
         .to_owned();
     let status = response.status.as_u16();
-    let body = response.collect(MAX_ANSWER_BYTES, request.stall_timeout).await?;
+    let body = response
+        .collect_held(MAX_ANSWER_BYTES, request.stall_timeout, request.hold)
+        .await?;
     Ok(Answer {
         status,
         content_type,
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -15,6 +15,7 @@
 use super::metrics::Metrics;
 use crate::adapters::clock;
 use crate::adapters::control;
+use crate::adapters::memory::Memory;
 use crate::adapters::quic::Pool;
 use crate::adapters::upstream;
 use crate::domain::dispatch::Action;
@@ -48,6 +49,8 @@
     pub(super) pool: Pool,
     pub(super) control: control::Client,
     pub(super) upstreams: upstream::Client,
+    /// Budget of what callers make this process hold.
+    pub(super) memory: Memory,
     pub(super) metrics: Metrics,
     /// Whether the process is shutting down.
     pub(super) draining: AtomicBool,
@@ -69,13 +72,14 @@
 }
 
 impl Context {
-    pub(super) fn new(settings: Entry, pool: Pool) -> Self {
+    pub(super) fn new(settings: Entry, pool: Pool, memory: Memory) -> Self {
         let session = format!("{}#{}", settings.name, clock::unique_id());
         let owner = Owner::new(&session, &settings.availability_zone, settings.dispatch.clone());
         Context {
             control: control::Client::new(pool.clone(), &settings.control),
             pool,
             upstreams: upstream::Client::default(),
+            memory,
             metrics: Metrics::new(),
             draining: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
--- a/src/entry/execute.rs
+++ b/src/entry/execute.rs
@@ -17,6 +17,7 @@
 use crate::domain::dispatch::Completion;
 use crate::domain::dispatch::Event;
 use crate::domain::dispatch::Refusal;
+use crate::domain::memory;
 use crate::domain::state::Stage;
 use crate::logging;
 
@@ -35,8 +36,8 @@
 /// How the call at the upstream ended.
 enum Outcome {
     Complete,
-    /// The upstream answered with an error status, which does not close its replica.
-    ErrorStatus(String),
+    /// The answer was an error status, or there was no memory for it; neither closes the replica.
+    AnswerLost(String),
     /// The upstream ran nothing of the call.
     NotRun(String),
     /// The answer broke off, stalled or belonged to another request; the call may have run.
@@ -87,7 +88,7 @@
     };
     let completion = match &outcome {
         Outcome::Complete | Outcome::Cancelled => Completion::Normal,
-        Outcome::ErrorStatus(_) => Completion::Failed,
+        Outcome::AnswerLost(_) => Completion::Failed,
         Outcome::NotRun(_) | Outcome::Interrupted(_) => Completion::Interrupted,
     };
     context.step(Event::Ended {
@@ -102,7 +103,7 @@
             reason,
             retry_after_ms: 100,
         }),
-        Outcome::ErrorStatus(reason) | Outcome::Interrupted(reason) => Kind::Failed(wire::Failed { reason }),
+        Outcome::AnswerLost(reason) | Outcome::Interrupted(reason) => Kind::Failed(wire::Failed { reason }),
         Outcome::Cancelled => return,
     };
     send_frame(&sender, last_frame).await;
@@ -245,6 +246,10 @@
         content_type: &forward.content_type,
         body: Bytes::from(forward.body.clone()),
         stall_timeout: Duration::from_millis(response_timeout),
+        time_limit: Duration::from_millis(forward.request_ms),
+        hold: context
+            .memory
+            .open(memory::Kind::Answer, Some(forward.client_account.clone())),
     };
     match upstream::call_service(&context.upstreams, request).await {
         Ok(answer) => {
@@ -278,7 +283,7 @@
 fn outcome_of(error: upstream::Error) -> Outcome {
     match error {
         upstream::Error::NotSent | upstream::Error::Refused(_) => Outcome::NotRun(error.to_string()),
-        upstream::Error::Status(..) => Outcome::ErrorStatus(error.to_string()),
+        upstream::Error::Status(..) | upstream::Error::Shortage => Outcome::AnswerLost(error.to_string()),
         _ => Outcome::Interrupted(error.to_string()),
     }
 }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -63,9 +63,9 @@
         max_pause: BODY_PAUSE,
         max_time: BODY_TIME,
         limits,
-        memory,
+        memory: memory.clone(),
     };
-    let context = Arc::new(Context::new(settings, pool));
+    let context = Arc::new(Context::new(settings, pool, memory));
     let shared = context.clone();
     let endpoint = quic::serve(peer_address, &keys, move |request, stream| {
         peer::handle(shared.clone(), request, stream)
