entry: a planned stop answers what it accepts

What callers saw: an entry that shuts down takes calls until its end, and cuts what is in progress then without an answer, also calls that may not be repeated.

Cause: only readiness and the ownership of replicas changed during the shutdown; calls were accepted as before and had no end before the exit.

Change: the schedule of the gateway's stop is shared (domain/stop.rs, daemon::Shutdown). After drain.grace_ms calls are refused as not run, and before it those that may not be repeated and could outlast the shutdown. What is in progress at its end gets 502, unknown. Connections are closed after their next answer once the intake has ended.

--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -30,6 +30,11 @@
 }
 
 impl Server {
+    /// Closes each connection after its next answer; new ones are still accepted.
+    pub fn close_after_answers(&self) {
+        self.server.close_after_answers();
+    }
+
     /// Stops accepting connections; open ones may finish.
     pub fn stop(&self) {
         self.server.stop();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,10 +1,12 @@
-//! Code that all daemons share: command line, errors, exit codes, signals, metrics, mailboxes.
+//! Code that all daemons share: command line, errors, exit codes, signals, planned stops, metrics,
+//! mailboxes.
 
 mod error;
 mod exit;
 mod mailbox;
 mod metrics;
 mod program;
+mod shutdown;
 mod signal;
 mod tickets;
 
@@ -18,5 +20,6 @@
 pub use program::run;
 pub use program::run_single_threaded;
 pub use program::with_memory;
+pub use shutdown::Shutdown;
 pub use signal::shutdown_signal;
 pub use tickets::Tickets;
--- a/src/domain/gateway/mod.rs
+++ b/src/domain/gateway/mod.rs
@@ -13,7 +13,6 @@
 mod refusals;
 mod settings;
 mod steer;
-mod stop;
 mod tracker;
 
 pub use admission::Admission;
@@ -36,4 +35,3 @@
 pub use reach::Way;
 pub use refusals::Refusals;
 pub use settings::Settings;
-pub use stop::Stop;
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -20,3 +20,4 @@
 pub mod reuse;
 pub mod session;
 pub mod state;
+pub mod stop;
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -18,6 +17,7 @@
 use crate::adapters::memory::Memory;
 use crate::adapters::quic::Pool;
 use crate::adapters::upstream;
+use crate::daemon::Shutdown;
 use crate::domain::dispatch::Action;
 use crate::domain::dispatch::Budget;
 use crate::domain::dispatch::Event;
@@ -52,8 +52,7 @@
     /// Budget of what callers make this process hold.
     pub(super) memory: Memory,
     pub(super) metrics: Metrics,
-    /// Whether the process is shutting down.
-    pub(super) draining: AtomicBool,
+    pub(super) shutdown: Shutdown,
     /// Calls for which a shutdown waits.
     open_calls: AtomicUsize,
     core: Mutex<Core>,
@@ -81,7 +80,7 @@
             upstreams: upstream::Client::default(),
             memory,
             metrics: Metrics::new(),
-            draining: AtomicBool::new(false),
+            shutdown: Shutdown::default(),
             open_calls: AtomicUsize::new(0),
             core: Mutex::new(Core {
                 owner,
@@ -150,7 +149,7 @@
     }
 
     pub(super) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+        self.shutdown.stop().is_some()
     }
 
     /// Whether this entry's lease is valid.
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -34,6 +34,11 @@
 /// Parts buffered for a slow caller; beyond it, reading from the owner pauses.
 const MAX_BUFFERED_PARTS: usize = 64;
 
+/// Reason of refusals and errors during a planned stop.
+const STOP_REASON: &str = "this entry is shutting down";
+/// Time after which a caller may send a call again that was refused for it.
+const STOP_RETRY_MS: u64 = 1_000;
+
 /// A call to relay: its caller and the message for the owner.
 #[derive(Clone, Debug)]
 pub(super) struct Job {
@@ -120,7 +125,17 @@
             failed_attempts: 0,
             last_refusal: None,
         };
-        let ending = relay.run().await;
+        let ending = if relay.may_begin() {
+            tokio::select! {
+                ending = relay.run() => ending,
+                () = context.shutdown.answers_ended() => Some(Ending::Unknown(STOP_REASON.to_owned())),
+            }
+        } else {
+            Some(Ending::NotRun {
+                reason: STOP_REASON.to_owned(),
+                retry_after_ms: STOP_RETRY_MS,
+            })
+        };
         let outcome = match &ending {
             Some(Ending::Done) => "ran",
             Some(Ending::NotRun { .. }) => "not-run",
@@ -143,6 +158,13 @@
 }
 
 impl Relay<'_> {
+    /// Whether a planned stop of this entry, if it has begun, still accepts the call.
+    fn may_begin(&self) -> bool {
+        let (deadline, is_repeatable) = (self.deadline, !self.job.forward.non_repeatable);
+        let stop = self.context.shutdown.stop();
+        stop.is_none_or(|stop| stop.accepts(clock::now(), deadline, is_repeatable))
+    }
+
     async fn run(&mut self) -> Option<Ending> {
         self.with_budget(Budget::deposit);
         loop {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,7 +1,6 @@
 //! Start and graceful shutdown of the entry daemon.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use error_stack::Report;
@@ -19,6 +18,7 @@
 use crate::adapters::quic::Credentials;
 use crate::adapters::quic::Pool;
 use crate::domain::dispatch::Event;
+use crate::domain::stop::Stop;
 use crate::logging;
 use crate::settings::Entry;
 
@@ -92,21 +92,26 @@
 }
 
 impl Daemon {
-    /// Shuts down without interrupting a call, unless the calls outlast `longest_ms`.
+    /// Shuts down without interrupting a call, unless the calls outlast `longest_ms`; these are answered with an
+    /// error.
     ///
-    /// Readiness fails first, and new calls are still accepted for `grace_ms`. Then the
-    /// groups move to other owners and the process waits until the last call has ended.
+    /// Readiness fails first, and new calls are still accepted for `grace_ms`, unless they may not be repeated and
+    /// could outlast the shutdown. Then the groups move to other owners and the process waits until the last call
+    /// has ended.
     pub async fn stop(self) {
         let context = &self.context;
         logging::SHUTDOWN_STARTED.log(format_args!("entry session={}", context.session));
-        context.draining.store(true, Ordering::SeqCst);
         let drain = &context.settings.drain;
-        tokio::time::sleep(Duration::from_millis(drain.grace_ms)).await;
+        let intake = Duration::from_millis(drain.grace_ms);
+        let longest = Duration::from_millis(drain.longest_ms);
+        let stop = Stop::new(clock::now(), intake, intake + longest);
+        context.shutdown.begin(stop);
+        tokio::time::sleep(intake).await;
         context.step(Event::Drain);
-        let deadline = clock::now() + Duration::from_millis(drain.longest_ms);
+        self.web.close_after_answers();
         // The HTTP server is stopped only after the last call has ended: once stopped, it
         // closes open connections after a time limit of its own.
-        while clock::now() < deadline {
+        while clock::now() < stop.exit {
             if self.is_idle() {
                 tokio::time::sleep(FLUSH_WAIT).await;
                 if self.is_idle() {
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -113,7 +113,7 @@
     let deadline = deadline(&head.headers, &route, started);
     let is_repeatable = route.repeat != Repeat::Once;
     let is_accepted = || {
-        let stop = context.stop();
+        let stop = context.shutdown.stop();
         stop.is_none_or(|stop| stop.accepts(clock::now(), deadline, is_repeatable))
     };
     if !is_accepted() {
@@ -131,6 +131,7 @@
         return refuse(StatusCode::SERVICE_UNAVAILABLE, dispatch::STOP_REASON);
     }
     let deadline = context
+        .shutdown
         .stop()
         .map_or(deadline, |stop| deadline.min(stop.answers_end));
     let service = draw_service(&route);
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -21,6 +21,7 @@
 use crate::adapters::fleet::Client;
 use crate::adapters::http1;
 use crate::adapters::quic::Pool;
+use crate::daemon::Shutdown;
 use crate::domain::catalog::Catalog;
 use crate::domain::fleet::Announcement;
 use crate::domain::fleet::Confirmation;
@@ -33,7 +34,6 @@
 use crate::domain::gateway::Reach;
 use crate::domain::gateway::Refusals;
 use crate::domain::gateway::Settings;
-use crate::domain::gateway::Stop;
 use crate::domain::quarantine::Evidence;
 use crate::domain::quarantine::Observations;
 use crate::domain::quarantine::is_fingerprint;
@@ -89,10 +89,7 @@
     confirmation: Mutex<Option<Confirmation>>,
     /// Whether the leader has ever sent targets.
     has_targets: AtomicBool,
-    /// Schedule of the planned stop, once it has begun.
-    stop: OnceLock<Stop>,
-    /// Notified when it begins.
-    stop_begun: Notify,
+    pub(super) shutdown: Shutdown,
     /// Time after a report during which the catalog may be used.
     catalog_lease: Duration,
 }
@@ -136,8 +133,7 @@
             catalog: Mutex::default(),
             confirmation: Mutex::default(),
             has_targets: AtomicBool::new(false),
-            stop: OnceLock::new(),
-            stop_begun: Notify::new(),
+            shutdown: Shutdown::default(),
             catalog_lease: revocation_time.saturating_sub(LEASE_MARGIN),
         }
     }
@@ -187,31 +183,7 @@
     }
 
     pub(super) fn is_draining(&self) -> bool {
-        self.stop.get().is_some()
-    }
-
-    /// Withdraws readiness and begins the planned stop.
-    pub(super) fn start_draining(&self, stop: Stop) {
-        // A stop begins once.
-        let _ = self.stop.set(stop);
-        self.stop_begun.notify_waiters();
-    }
-
-    /// Schedule of the planned stop, if it has begun.
-    pub(super) fn stop(&self) -> Option<&Stop> {
-        self.stop.get()
-    }
-
-    /// Returns when requests that are still in progress must be answered, since the process is about to end.
-    pub(super) async fn answers_ended(&self) {
-        // Created before the check, so that a stop that begins during it is not missed.
-        let begun = self.stop_begun.notified();
-        if self.stop.get().is_none() {
-            begun.await;
-        }
-        if let Some(stop) = self.stop.get() {
-            tokio::time::sleep(stop.answers_end.saturating_sub(clock::now())).await;
-        }
+        self.shutdown.stop().is_some()
     }
 
     pub(super) fn balancer(&self) -> MutexGuard<'_, Balancer> {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -68,7 +68,7 @@
     let mut dispatch = Dispatch::new(&context, &request, &service);
     let response = tokio::select! {
         response = dispatch.run() => response,
-        () = context.answers_ended() => dispatch.end_early(),
+        () = context.shutdown.answers_ended() => dispatch.end_early(),
     };
     log_request_ended(&request, &dispatch, response.status());
     let label = response.status().as_str().to_owned();
@@ -177,7 +177,7 @@
     /// Whether the planned stop of this gateway, if it has begun, leaves time for another send.
     fn may_begin(&self) -> bool {
         let (deadline, is_repeatable) = (self.request.deadline, self.request.is_repeatable());
-        let stop = self.context.stop();
+        let stop = self.context.shutdown.stop();
         stop.is_none_or(|stop| stop.may_begin(deadline, is_repeatable))
     }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -27,13 +27,17 @@
 use crate::adapters::quic::Credentials;
 use crate::adapters::quic::Pool;
 use crate::domain::fleet::Place;
-use crate::domain::gateway::Stop;
+use crate::domain::stop::Stop;
 use crate::logging;
 use crate::settings::Gateway;
 
 /// Time until the load balancer in front has stopped sending connections to a gateway that is not
 /// ready: two health checks one second apart, and time for connections on their way.
 const READINESS_DELAY: Duration = Duration::from_millis(3_200);
+/// Fraction of the grace period in which requests are still accepted, meant to last until the load
+/// balancer has stopped sending connections: 2.9 s of the default 8 s. The accepted requests have the
+/// rest to end.
+const INTAKE_FRACTION: f64 = 0.36;
 /// Interval between checks for open connections during a shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -143,8 +147,9 @@
             ("program", "gateway".into()),
             ("connections", (self.server.open_connections() as u64).into()),
         ]);
-        let stop = Stop::new(started, self.grace_period);
-        self.context.start_draining(stop);
+        let intake = self.grace_period.mul_f64(INTAKE_FRACTION);
+        let stop = Stop::new(started, intake, self.grace_period);
+        self.context.shutdown.begin(stop);
         self.server.close_after_answers();
         loop {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use heatherramp::domain::gateway::Stop;
+use heatherramp::domain::stop::Stop;
 use site::ACCOUNT_KEY;
 use site::Site;
 use site::raw::Step;
@@ -92,9 +92,9 @@
 #[test]
 fn what_cannot_be_sent_again_is_begun_only_if_it_ends_before_the_exit() {
     let (now, grace_period) = (ms(500), ms(8_000));
-    let stop = Stop::new(now, grace_period);
+    let stop = Stop::new(now, ms(2_880), grace_period);
     assert!(stop.answers_end < stop.exit && stop.exit < now + grace_period);
-    // Just before the end of the intake, 2.88 s after the start of the stop, and just after it.
+    // At the start, and just before and after the end of the intake.
     for (arrival, is_open) in [(now, true), (ms(3_379), true), (ms(3_381), false)] {
         for deadline in [arrival, stop.answers_end, stop.answers_end + ms(1), ms(60_000)] {
             let can_end = deadline <= stop.answers_end;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -7,6 +7,7 @@
 use common::Cluster;
 use common::engine_document;
 use common::expected_text;
+use common::service_document;
 use common::streamed_text;
 use common::vms;
 use tokio::time::sleep;
@@ -79,3 +80,44 @@
         .unwrap();
     assert_eq!(after.status, 200);
 }
+
+/// Guards against calls that an entry takes while it shuts down, or has taken before, and cuts without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_outlasts_the_shutdown_is_answered_or_refused_as_not_run() {
+    let zones = ["north"];
+    let cluster = Cluster::start("outlasting", (3, 2), &zones, |site, upstreams| {
+        upstreams.vms = vms(&zones, 0);
+        upstreams.service_ms = 4_000;
+        for entry in &mut site.entries {
+            entry.drain.longest_ms = 1_500;
+        }
+    })
+    .await;
+    cluster.submit_and_promote(&service_document(&zones)).await;
+    let e1 = cluster.entry_address("e1");
+    let mut attempts = (0..40).map(|i| format!("ready-{i}"));
+    loop {
+        let order = attempts.next().expect("the service answers");
+        if cluster.book(&e1, &order).await.is_some_and(|a| a.status == 200) {
+            break;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    let running = cluster.book(&e1, "running");
+    let late = async {
+        sleep(Duration::from_millis(300)).await;
+        cluster.signal("e1", "TERM");
+        sleep(Duration::from_millis(300)).await;
+        cluster.book(&e1, "late").await
+    };
+    let (running, late) = tokio::join!(running, late);
+    let late = late.expect("an answer to the late call");
+    assert_eq!((late.status, late.outcome.as_str()), (503, "not-run"));
+    assert!(late.headers.contains_key("retry-after"));
+    let running = running.expect("an answer to the running call");
+    assert_eq!((running.status, running.outcome.as_str()), (502, "unknown"));
+    sleep(Duration::from_millis(1_000)).await;
+    let counts = cluster.counts("north-desk").await;
+    assert_eq!(counts["runs"]["running"].as_u64(), Some(1));
+    assert_eq!(counts["runs"].get("late"), None, "refused as not run");
+}
