fleet: relays and the leader ask for heartbeats that they do not know

What callers saw: after a change of leader a VM whose heartbeats are all acknowledged is taken out of service for good, if it was silent for a second at that moment.

Cause: a relay forgets silent VMs for a new leader, and dropped the renewals of their later heartbeats, which the gateway went on to acknowledge.

Change: what a relay or the leader cannot assign goes back in Overview::unknown; the gateway passes on the whole heartbeat at once, a relay with its next digest.

--- a/src/domain/fleet/digests.rs
+++ b/src/domain/fleet/digests.rs
@@ -54,6 +54,8 @@
     urgent_changes: usize,
     /// Revision of the helpers that the controller holds.
     helpers: u64,
+    /// VMs whose renewals in the digest are of content that this leader lacks.
+    unknown: Vec<String>,
     /// When it is answered without a change.
     deadline: Duration,
 }
@@ -64,10 +66,9 @@
         for heard in std::mem::take(&mut digest.changed) {
             self.record_heartbeat(now, Duration::from_millis(heard.age_ms), heard.announcement);
         }
-        for renewal in std::mem::take(&mut digest.renewed) {
-            self.registry
-                .renew(now, &renewal.id, renewal.incarnation, renewal.sequence);
-        }
+        let renewed = std::mem::take(&mut digest.renewed).into_iter();
+        let unknown = renewed.filter(|r| !self.registry.renew(now, &r.id, r.incarnation, r.sequence));
+        let unknown = unknown.map(|r| r.id).collect();
         let evidence = std::mem::take(&mut digest.evidence);
         self.quarantine.record(now, &evidence);
         self.targets_dirty |= self.limits.record(now, &std::mem::take(&mut digest.limits));
@@ -77,6 +78,7 @@
             targets: digest.targets,
             version: digest.version,
             helpers: digest.helpers,
+            unknown,
             urgent_changes: self.urgent_changes,
             deadline: now + self.digest_interval(),
         });
@@ -218,6 +220,7 @@
             quarantined: self.state.quarantined.keys().cloned().collect(),
             granted: BTreeMap::new(),
             helpers: (poll.helpers != self.helpers.revision).then(|| self.helpers.clone()),
+            unknown: poll.unknown.clone(),
         }
     }
 
--- a/src/domain/fleet/heard.rs
+++ b/src/domain/fleet/heard.rs
@@ -98,19 +98,28 @@
     }
 
     /// Records that a VM has sent a further heartbeat to a gateway whose earlier ones, with the same
-    /// content, this relay has acknowledged.
-    pub(super) fn receive_renewal(&mut self, now: Duration, renewal: &Renewal) {
+    /// content, this relay has acknowledged; returns whether the relay still has that content.
+    pub(super) fn receive_renewal(&mut self, now: Duration, renewal: &Renewal) -> bool {
         let Some(vm) = self.vms.get_mut(&(renewal.id.clone(), renewal.incarnation)) else {
-            return;
+            return false;
         };
         let announcement = &mut vm.announcement;
-        if renewal.sequence <= announcement.sequence {
-            return;
+        if renewal.sequence > announcement.sequence {
+            announcement.sequence = renewal.sequence;
+            vm.heard_at = now;
+            if vm.pending == Pending::Nothing {
+                vm.pending = Pending::Renewal;
+            }
         }
-        announcement.sequence = renewal.sequence;
-        vm.heard_at = now;
-        if vm.pending == Pending::Nothing {
-            vm.pending = Pending::Renewal;
+        true
+    }
+
+    /// Marks the heartbeats of VMs that the leader does not know, although it has received them from this relay.
+    pub(super) fn resend_heartbeats_of(&mut self, unknown: &[String]) {
+        for ((id, _), vm) in &mut self.vms {
+            if unknown.contains(id) {
+                vm.pending = Pending::Content;
+            }
         }
     }
 
--- a/src/domain/fleet/heartbeats.rs
+++ b/src/domain/fleet/heartbeats.rs
@@ -3,7 +3,8 @@
 //! A gateway passes a heartbeat on to its controller unless it directly follows one that this controller
 //! has acknowledged and has the same content. Such a heartbeat is acknowledged by the gateway itself and
 //! goes into its next report as a renewal. When the controller changes, or may have restarted, all
-//! heartbeats are passed on again.
+//! heartbeats are passed on again; and those of a VM that the controller does not know, since it has forgotten
+//! the VM, which is silent for long from its point of view.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -105,6 +106,11 @@
         pending.map(renewal).collect()
     }
 
+    /// Latest heartbeat of a VM that the controller does not know; it does not count as acknowledged any more.
+    pub fn take_unknown(&mut self, id: &str) -> Option<Announcement> {
+        self.vms.remove(id).map(|vm| vm.announcement)
+    }
+
     /// Forgets a VM that shuts down.
     pub fn forget(&mut self, id: &str) {
         self.vms.remove(id);
--- a/src/domain/fleet/registry.rs
+++ b/src/domain/fleet/registry.rs
@@ -105,18 +105,20 @@
         has_new_content
     }
 
-    /// Records that a VM has sent a further heartbeat with the content of its last one.
+    /// Records that a VM has sent a further heartbeat with the content of its last one; returns whether that content
+    /// is known.
     ///
     /// Ignored for an unknown VM, another incarnation, and a heartbeat out of order.
-    pub fn renew(&mut self, now: Duration, id: &str, incarnation: u64, sequence: u64) {
+    pub fn renew(&mut self, now: Duration, id: &str, incarnation: u64, sequence: u64) -> bool {
         let Some(vm) = self.vms.get_mut(id) else {
-            return;
+            return false;
         };
         let announcement = &mut vm.announcement;
         if announcement.incarnation == incarnation && announcement.sequence < sequence && !vm.gone {
             announcement.sequence = sequence;
             vm.last_heartbeat = now;
         }
+        vm.announcement.incarnation >= incarnation
     }
 
     /// Marks a VM as gone; only a heartbeat of a newer incarnation adds it again.
--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -238,9 +238,9 @@
     }
 
     fn receive_report(&mut self, now: Duration, ticket: Ticket, mut report: Report) {
-        for renewal in std::mem::take(&mut report.renewed) {
-            self.receive_renewal(now, &renewal);
-        }
+        let renewed = std::mem::take(&mut report.renewed).into_iter();
+        let unknown = renewed.filter(|renewal| !self.receive_renewal(now, renewal));
+        let unknown = unknown.map(|renewal| renewal.id).collect();
         self.polls.push(Poll {
             ticket,
             targets: report.targets,
@@ -249,6 +249,7 @@
             arrived_at: now,
             deadline: now + self.report_interval(now),
             gateway: report.gateway.clone(),
+            unknown,
         });
         for (target, count) in &report.running {
             match self.running.get_mut(target) {
@@ -288,6 +289,7 @@
         if !is_same_leader {
             self.resend_recent_heartbeats(now);
         }
+        self.resend_heartbeats_of(&std::mem::take(&mut overview.unknown));
         if let Some(previous) = previous.map(|h| h.overview) {
             if previous.zones_out != overview.zones_out || previous.quarantined != overview.quarantined {
                 self.urgent_changes += 1;
--- a/src/domain/fleet/reports.rs
+++ b/src/domain/fleet/reports.rs
@@ -29,6 +29,8 @@
     pub(super) deadline: Duration,
     /// Identity of the gateway.
     pub(super) gateway: String,
+    /// VMs whose renewals in the report are of heartbeats that this relay lacks.
+    pub(super) unknown: Vec<String>,
 }
 
 impl Relay {
@@ -75,6 +77,7 @@
                 overview.catalog.clone_from(&held.overview.catalog);
             }
             overview.helpers = self.helpers_for(&poll.gateway);
+            overview.unknown = poll.unknown;
             if is_recent {
                 overview.granted = self.grant(now, &mut issuer, &poll.gateway, &held.overview);
             }
--- a/src/domain/fleet/routing.rs
+++ b/src/domain/fleet/routing.rs
@@ -93,6 +93,9 @@
     /// this revision.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub helpers: Option<Helpers>,
+    /// VMs whose renewals the sender of this overview could not assign, so that it needs their whole heartbeats.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unknown: Vec<String>,
 }
 
 impl Overview {
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -1,6 +1,7 @@
 //! Heartbeats of VMs, which gateways take over for the controllers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 
 use super::context::Context;
 use crate::adapters::clock;
+use crate::domain::fleet::Announcement;
 use crate::domain::fleet::Answer;
 use crate::domain::fleet::Call;
 use crate::domain::fleet::Handling;
@@ -47,13 +49,38 @@
     check_contact(context)?;
     let announcement = platform::heartbeat::decode(id, body).map_err(|e| (StatusCode::BAD_REQUEST, e))?;
     if context.receive_heartbeat(&announcement) == Handling::Forward {
-        let controller = forward(context, Call::Announce(Box::new(announcement.clone()))).await?;
-        let mut heartbeats = context.heartbeats();
-        heartbeats.record_acknowledged(clock::now(), Some(controller), announcement);
+        announce(context, announcement).await?;
     }
     Ok(())
 }
 
+/// Passes a heartbeat on to the controller.
+async fn announce(context: &Context, announcement: Announcement) -> Result<(), Refusal> {
+    let controller = forward(context, Call::Announce(Box::new(announcement.clone()))).await?;
+    let mut heartbeats = context.heartbeats();
+    heartbeats.record_acknowledged(clock::now(), Some(controller), announcement);
+    Ok(())
+}
+
+/// Passes on the latest heartbeats of VMs that the controller does not know.
+///
+/// Without its acknowledgement, the next heartbeat of the VM is passed on.
+pub(super) fn announce_unknown(context: &Arc<Context>, unknown: &[String]) {
+    for id in unknown {
+        let Some(announcement) = context.heartbeats().take_unknown(id) else {
+            continue;
+        };
+        let context = context.clone();
+        tokio::spawn(async move {
+            if let Err((_, reason)) = announce(&context, announcement.clone()).await {
+                let id = announcement.id.as_str();
+                logging::HEARTBEAT_REFUSED
+                    .log_fields(&[("vm", id.into()), ("reason", reason.as_str().into())]);
+            }
+        });
+    }
+}
+
 async fn leave(context: &Context, id: &str) -> Result<(), Refusal> {
     check_contact(context)?;
     context.heartbeats().forget(id);
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use super::context::Context;
+use super::heartbeat;
 use crate::adapters::clock;
 use crate::domain::catalog::Catalog;
 use crate::domain::catalog::Compressed;
@@ -115,7 +116,7 @@
 }
 
 /// Takes over what the leader sent with an overview.
-async fn apply_answer(context: &Context, state: &mut State, sent: &Sent, overview: Overview) -> Outcome {
+async fn apply_answer(context: &Arc<Context>, state: &mut State, sent: &Sent, overview: Overview) -> Outcome {
     let confirmation = Confirmation::new(sent.at, Duration::from_millis(overview.age_ms));
     if let Some(compressed) = &overview.catalog {
         apply_catalog(context, state, compressed);
@@ -281,7 +282,7 @@
 /// Applies the answer to a report with the leader's `confirmation`; returns false for one that must not be
 /// applied.
 fn apply_overview(
-    context: &Context,
+    context: &Arc<Context>,
     state: &mut State,
     sent: &Sent,
     confirmation: Confirmation,
@@ -337,6 +338,7 @@
         let addresses = helpers.list.iter().filter_map(|h| h.address.parse().ok());
         context.reach().set_helpers(addresses.collect());
     }
+    heartbeat::announce_unknown(context, &overview.unknown);
     context.set_quarantine(&overview.suspects, &overview.quarantined);
     context.room.notify_waiters();
     true
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -424,6 +424,60 @@
     assert_eq!(sequences(&relay.digest(ms(60))), (vec![], vec![3]));
 }
 
+/// Guards against a VM whose heartbeats are all acknowledged although neither relay nor leader knows it: a change of
+/// leader makes a relay forget VMs that are silent for 1.5 s.
+#[test]
+fn a_relay_asks_for_the_whole_heartbeat_of_a_vm_that_it_does_not_know() {
+    let controller = Some(([127, 0, 0, 1], 1).into());
+    let (mut relay, mut gateway) = (relay("a"), Heartbeats::default());
+    relay.step(ms(0), Input::Overview(ms(0), overview(1, 1)));
+    assert!(beat(&mut relay, 10, heartbeat("vm", 1)));
+    gateway.record_acknowledged(ms(10), controller, heartbeat("vm", 1));
+    relay.digest(ms(20));
+    relay.step(ms(1_600), Input::Overview(ms(1_600), overview(2, 1)));
+    assert_eq!(
+        gateway.receive(ms(1_700), controller, &heartbeat("vm", 2)),
+        Handling::Renew
+    );
+    let mut with_renewals = report("g", (0, 0), 0);
+    with_renewals.renewed = gateway.take_renewals(ms(1_710), controller, ms(10_000));
+    let answer = overview_of(relay.step(ms(1_720), Input::Report(1, with_renewals)));
+    assert_eq!(answer.unknown, ["vm"]);
+    let announcement = gateway.take_unknown("vm").expect("the latest heartbeat");
+    assert_eq!(
+        gateway.receive(ms(1_730), controller, &heartbeat("vm", 3)),
+        Handling::Forward
+    );
+    assert!(beat(&mut relay, 1_740, announcement));
+    assert_eq!(sequences(&relay.digest(ms(1_750))), (vec![2], vec![]));
+    let answer = overview_of(relay.step(ms(1_760), Input::Report(2, report("g", (0, 0), 0))));
+    assert!(answer.unknown.is_empty());
+}
+
+/// The same for a leader that does not know a VM whose content a relay has sent.
+#[test]
+fn a_leader_asks_for_the_whole_heartbeat_of_a_vm_that_it_does_not_know() {
+    let (mut core, now) = leader();
+    let mut relay = relay("a");
+    exchange(&mut core, &mut relay, now);
+    assert!(beat(&mut relay, now + 100, heartbeat("vm", 1)));
+    // The answer to this digest comes from a leader that has not got it.
+    relay.digest(ms(now + 110));
+    let revision = relay.digest(ms(now + 110)).targets;
+    relay.step(
+        ms(now + 120),
+        Input::Overview(ms(now + 110), overview(revision.0, revision.1)),
+    );
+    assert!(beat(&mut relay, now + 200, heartbeat("vm", 2)));
+    assert_eq!(sequences(&relay.digest(ms(now + 210))), (vec![], vec![2]));
+    exchange(&mut core, &mut relay, now + 300);
+    assert_eq!(sequences(&relay.digest(ms(now + 400))), (vec![2], vec![]));
+    exchange(&mut core, &mut relay, now + 500);
+    assert!(beat(&mut relay, now + 600, heartbeat("vm", 3)));
+    exchange(&mut core, &mut relay, now + 700);
+    assert_eq!(sequences(&relay.digest(ms(now + 800))), (vec![], vec![]));
+}
+
 /// A receiver that has missed changes, or holds targets of an earlier leader, ends with the same targets.
 #[test]
 fn a_log_of_targets_brings_every_receiver_up_to_date() {
