core: a voter whose disk is lost is removed before its successor gets a vote

What callers saw: a core of three controllers is lost for good when one of them loses its disk again shortly after it has come back empty.

Cause: the new identity of the controller became a voter before the old one was removed. Of four voters two were then on one machine, and three needed. That learners were promoted unheard is not the cause: mended alone, the new test still failed.

Change: the removal comes first, in both control planes. A learner is caught up once it has confirmed the log up to what is committed, and stands by once the leader has heard from it lately; Progress::match_index is an Option.

--- a/src/domain/consensus/election.rs
+++ b/src/domain/consensus/election.rs
@@ -167,7 +167,7 @@
         for id in others {
             self.progress.entry(id).or_insert(Progress {
                 next_index,
-                match_index: 0,
+                match_index: None,
                 last_contact: None,
                 in_flight_since: None,
             });
@@ -185,7 +185,7 @@
         let successor = self
             .progress
             .iter()
-            .filter(|(id, p)| voters.contains(id) && p.match_index == last_index)
+            .filter(|(id, p)| voters.contains(id) && p.match_index == Some(last_index))
             .max_by_key(|(_, p)| p.last_contact);
         if let Some((to, _)) = successor {
             // `transfer_started` ends the lease immediately: the successor may win its election
--- a/src/domain/consensus/node.rs
+++ b/src/domain/consensus/node.rs
@@ -90,8 +90,9 @@
 pub(super) struct Progress {
     /// Index of the next record to send.
     pub(super) next_index: u64,
-    /// Highest index up to which the member's log is known to match the leader's.
-    pub(super) match_index: u64,
+    /// Highest index up to which the member has confirmed that its log matches the leader's; none before it has
+    /// confirmed any to this leader.
+    pub(super) match_index: Option<u64>,
     /// Leader's clock when it sent the latest message that the member answered.
     pub(super) last_contact: Option<Duration>,
     /// When records or a snapshot were sent that the member has not acknowledged.
@@ -209,12 +210,10 @@
         self.journal.members().0
     }
 
-    /// Whether `id` lacks at most one batch of the leader's log; false unless this node leads.
+    /// Whether `id` has confirmed the log up to what is committed; false unless this node leads.
     pub fn is_caught_up(&self, id: &str) -> bool {
-        let batch = self.timing.batch_records as u64;
-        self.progress
-            .get(id)
-            .is_some_and(|p| p.match_index + batch >= self.journal.last_index())
+        let match_index = self.progress.get(id).and_then(|p| p.match_index);
+        match_index.is_some_and(|index| index >= self.commit_index)
     }
 
     /// Leader's clock when it sent the latest message that `id` answered.
--- a/src/domain/consensus/replication.rs
+++ b/src/domain/consensus/replication.rs
@@ -239,7 +239,7 @@
         let sent = Duration::from_millis(sent_ms);
         progress.last_contact = progress.last_contact.max(Some(sent));
         if stored {
-            progress.match_index = progress.match_index.max(index);
+            progress.match_index = progress.match_index.max(Some(index));
             progress.next_index = progress.next_index.max(index + 1);
             if progress
                 .in_flight_since
@@ -250,7 +250,8 @@
         } else {
             // A late rejection must not go back below the known match; the member's log may be
             // longer than this one.
-            progress.next_index = (index + 1).max(progress.match_index + 1).min(last_index + 1);
+            let known_match = progress.match_index.unwrap_or(0);
+            progress.next_index = (index.max(known_match) + 1).min(last_index + 1);
             progress.in_flight_since = None;
         }
         self.advance_commit();
@@ -266,7 +267,7 @@
             .voters()
             .iter()
             .map(|v| match self.progress.get(v) {
-                Some(progress) => progress.match_index,
+                Some(progress) => progress.match_index.unwrap_or(0),
                 None if *v == self.id => self.journal.last_index(),
                 None => 0,
             })
--- a/src/domain/control/leader.rs
+++ b/src/domain/control/leader.rs
@@ -111,18 +111,18 @@
         out.push(Action::Answer(ticket, Answer::Done));
     }
 
-    /// Proposes to make a caught-up learner a voter or, if there is none, to remove a voter that a
-    /// newer identity of the same control VM replaces.
+    /// Proposes to remove a voter that a newer identity of the same control VM replaces or, if there is none, to
+    /// make a caught-up learner a voter.
+    ///
+    /// A voter that has lost its disk can't vote any more, so a quorum of the others is no larger without it. With
+    /// both identities as voters, the loss of one VM would count twice.
     fn propose_voter_change(&mut self, now: Duration, out: &mut Vec<Action>) {
         let (voters, learners) = self.node.journal().members();
-        let mut payload = learners.iter().find_map(|l| self.node.promote_learner_payload(l));
-        if payload.is_none() {
-            let is_replaced = |v: &&String| voters.iter().any(|other| is_newer_identity(other, v));
-            payload = voters
-                .iter()
-                .find(is_replaced)
-                .and_then(|v| self.node.remove_member_payload(v));
-        }
+        let members = || voters.iter().chain(&learners);
+        let is_replaced = |m: &&String| members().any(|other| is_newer_identity(other, m));
+        let replaced = members().find(is_replaced);
+        let removal = replaced.and_then(|m| self.node.remove_member_payload(m));
+        let payload = removal.or_else(|| learners.iter().find_map(|l| self.node.promote_learner_payload(l)));
         if let Some(payload) = payload {
             self.step_consensus(now, consensus::Event::Propose(vec![payload]), out);
         }
--- a/src/domain/fleet/log_membership.rs
+++ b/src/domain/fleet/log_membership.rs
@@ -7,6 +7,10 @@
 //! A learner beyond [`Timing::voters`] stands by for a voter that is about to be replaced. It takes the vote
 //! over when that voter says that it shuts down, or is silent for a short time.
 //!
+//! A voter whose disk is lost is removed before the new identity of its controller gets a vote. It can't vote any more,
+//! so a quorum of the others is no larger without it; with both identities as voters, the loss of one controller
+//! would count twice.
+//!
 //! [`Timing::voters`]: super::Timing::voters
 
 use std::time::Duration;
@@ -51,10 +55,10 @@
         }
     }
 
-    /// Proposes at most one change of membership: removes a lost voter beyond [`Timing::voters`],
-    /// promotes a learner while voters are missing or lost, or removes a lost learner.
+    /// Proposes at most one change of membership: removes a voter whose disk is lost, or a lost voter beyond
+    /// [`Timing::voters`], promotes a learner while voters are missing or lost, or removes a lost learner.
     ///
-    /// A lost voter is thus replaced first and removed afterwards.
+    /// A voter that is lost with its disk in place is thus replaced first and removed afterwards.
     ///
     /// [`Timing::voters`]: super::Timing::voters
     pub(super) fn maintain_log_membership(&mut self, now: Duration, out: &mut Vec<Action>) {
@@ -80,10 +84,11 @@
                 || self.silence_of(now, id) > silence_limit
         };
         let lost_voter = voters.iter().find(|v| is_lost(v));
-        let mut payload = None;
-        if let Some(voter) = lost_voter.filter(|_| voters.len() > wanted) {
-            payload = self.node.remove_member_payload(voter);
-        }
+        let wiped_voter = voters.iter().find(|v| self.is_replaced(v));
+        let superfluous_voter = lost_voter.filter(|_| voters.len() > wanted);
+        let mut payload = wiped_voter
+            .or(superfluous_voter)
+            .and_then(|voter| self.node.remove_member_payload(voter));
         if payload.is_none() && (voters.len() < wanted || lost_voter.is_some_and(|_| voters.len() == wanted))
         {
             let mut standbys = self.standbys(now);
@@ -100,11 +105,12 @@
         }
     }
 
-    /// Learners that may become voters.
+    /// Learners that may become voters: this leader has heard from them lately.
     fn standbys(&self, now: Duration) -> impl Iterator<Item = String> + '_ {
         let (_, learners) = self.node.journal().members();
         learners.into_iter().filter(move |l| {
-            let is_connected = self.silence_of(now, l) < self.voter_silence_limit();
+            let last_contact = self.node.last_contact(l);
+            let is_connected = last_contact.is_some_and(|at| now < at + self.voter_silence_limit());
             is_connected && !self.is_replaced(l) && !self.shutdown_notices.contains_key(l)
         })
     }
--- a/tests/voters.rs
+++ b/tests/voters.rs
@@ -76,3 +76,29 @@
         });
     }
 }
+
+/// Guards against a core that is lost with two sound controllers of three: the vote of an empty one came too early, so
+/// that its two identities outvoted the others when it lost its disk again.
+#[test]
+fn a_controller_that_loses_its_disk_twice_in_a_row_costs_no_quorum() {
+    for seed in 1..=3 {
+        for (victim_leads, running_ms) in [false, true]
+            .into_iter()
+            .flat_map(|leads| (0..2_000).step_by(40).map(move |ms| (leads, ms)))
+        {
+            let mut simulation = Simulation::new(seed);
+            simulation.nodes.truncate(3);
+            simulation.assert_accepts_changes(seed, 5_000);
+            let leader = simulation.leader().expect("a leader");
+            let victim = if victim_leads { leader } else { (leader + 1) % 3 };
+            for off_ms in [1_000, 1_000] {
+                simulation.power_off(victim, off_ms, true);
+                let until = simulation.now + off_ms + running_ms;
+                while simulation.now < until {
+                    simulation.advance();
+                }
+            }
+            simulation.assert_accepts_changes(seed, 12_000);
+        }
+    }
+}
