fleet: a departure ends no later start of a VM

Cause: a relay forgot VMs by identifier alone, so a late draining heartbeat of an earlier start ended the later one there; its renewals were dropped. Since relays ask for what they do not know, it came back by itself.

Change: Input::Departure names the start if the call states it. The call by which a VM says that it has left states none.

Evidence: tests/relay.rs, a_departure_ends_no_later_start_of_the_vm, which does not build on the code before.

--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -58,8 +58,9 @@
     Withdrawal(String),
     /// Heartbeat of a VM.
     Heartbeat(Ticket, Box<Announcement>),
-    /// A VM has shut down, or is shutting down, and tells the leader through this controller.
-    Departure(String),
+    /// A VM has shut down, or is shutting down, and tells the leader through this controller; with its incarnation,
+    /// if it has stated that.
+    Departure(String, Option<u64>),
     /// The leader's answer to the last digest, which was sent at this time.
     Overview(Duration, Box<Overview>),
     /// The last digest got no answer.
@@ -160,7 +161,12 @@
                     subtract(&mut self.running, &gateway.report.running);
                 }
             }
-            Input::Departure(id) => self.vms.retain(|(known, _), _| *known != id),
+            Input::Departure(id, incarnation) => {
+                // A late call of an earlier start must not end a later one.
+                let has_left = |known: u64| incarnation.is_none_or(|left| known <= left);
+                self.vms
+                    .retain(|(known, start), _| *known != id || !has_left(*start));
+            }
             Input::Overview(asked_at, overview) => self.receive_overview(now, asked_at, *overview),
             Input::DigestLost => {
                 self.in_flight.clear();
--- a/src/fleet/heartbeat.rs
+++ b/src/fleet/heartbeat.rs
@@ -14,13 +14,13 @@
     if !announcement.draining {
         return relay.take_heartbeat(announcement).await;
     }
-    relay.forget(&announcement.id);
+    relay.forget(&announcement.id, Some(announcement.incarnation));
     let answer = leader.ask(Call::Announce(announcement)).await;
     matches!(answer, Some(Answer::Done))
 }
 
 /// Tells the leader that a VM has shut down; returns whether it is acknowledged.
 pub(super) async fn leave(relay: &Relay, leader: &Leader, id: String) -> bool {
-    relay.forget(&id);
+    relay.forget(&id, None);
     matches!(leader.ask(Call::Leave { id }).await, Some(Answer::Done))
 }
--- a/src/fleet/relay.rs
+++ b/src/fleet/relay.rs
@@ -91,9 +91,9 @@
         self.step(Input::Withdrawal(gateway));
     }
 
-    /// Forgets a VM that shuts down and has told the leader.
-    pub(super) fn forget(&self, id: &str) {
-        self.step(Input::Departure(id.to_owned()));
+    /// Forgets a VM that shuts down and tells the leader, in its starts up to `incarnation` if it has stated that.
+    pub(super) fn forget(&self, id: &str, incarnation: Option<u64>) {
+        self.step(Input::Departure(id.to_owned(), incarnation));
     }
 
     /// Address for the next heartbeats of the VM `id`, if one is known: of a gateway that reports here
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -454,6 +454,29 @@
     assert!(answer.unknown.is_empty());
 }
 
+/// Guards against a late call of an earlier start that makes a relay forget a VM which has started again under its
+/// identifier.
+#[test]
+fn a_departure_ends_no_later_start_of_the_vm() {
+    let mut relay = relay("a");
+    relay.step(ms(0), Input::Overview(ms(0), overview(1, 1)));
+    for incarnation in [1, 2] {
+        let announcement = Announcement {
+            incarnation,
+            ..heartbeat("vm", 1)
+        };
+        assert!(beat(&mut relay, 10, announcement));
+    }
+    relay.step(ms(20), Input::Departure("vm".to_owned(), Some(1)));
+    let incarnations = |digest: Digest| -> Vec<u64> {
+        let changed = digest.changed.iter().map(|h| h.announcement.incarnation);
+        changed.collect()
+    };
+    assert_eq!(incarnations(relay.digest(ms(30))), [2]);
+    relay.step(ms(40), Input::Departure("vm".to_owned(), None));
+    assert!(incarnations(relay.digest(ms(50))).is_empty());
+}
+
 /// The same for a leader that does not know a VM whose content a relay has sent.
 #[test]
 fn a_leader_asks_for_the_whole_heartbeat_of_a_vm_that_it_does_not_know() {
