fleet: answers with the configuration share one text

What callers saw: 100 connections that ask five times for a configuration of 3 MB and do not read the answers made a controller take 437 MB.

Cause: each answer decompressed the text anew, outside the memory budget.

Change: all answers in progress share one text.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod probes;
 mod relay;
 mod run;
+mod text;
 mod web;
 
 pub use crate::daemon::Error;
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -134,6 +134,7 @@
         metrics,
         own_address: settings.listen,
         memory,
+        text: Arc::default(),
     };
     // Both ports serve all paths; a metrics port of 0 means none.
     let ports = [settings.listen.port(), settings.metrics_port];
--- a/src/fleet/web.rs
+++ b/src/fleet/web.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::thread;
 
+use bytes::Bytes;
 use error_stack::Report;
 use error_stack::ResultExt;
 use http::Request;
@@ -19,6 +20,7 @@
 use super::leader::Leader;
 use super::metrics::Metrics;
 use super::relay::Relay;
+use super::text::Text;
 use crate::adapters::http1;
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Limits;
@@ -44,6 +46,8 @@
     pub(super) own_address: SocketAddr,
     /// Budget of what callers make this process hold.
     pub(super) memory: Memory,
+    /// Text of the configuration in force.
+    pub(super) text: Arc<Text>,
 }
 
 /// Serves `addresses` on a thread of its own until the process ends.
@@ -144,7 +148,7 @@
         };
         match self.leader.ask(call).await {
             Some(Answer::Done) => reply(StatusCode::OK, "{}"),
-            Some(Answer::Text(Some(text))) => match text.text() {
+            Some(Answer::Text(Some(compressed))) => match self.text.share(&compressed) {
                 Ok(text) => reply(StatusCode::OK, text),
                 Err(e) => reply(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
             },
@@ -176,9 +180,9 @@
     reply(StatusCode::BAD_REQUEST, reason.to_owned())
 }
 
-fn reply(status: StatusCode, text: impl Into<String>) -> Response<Body> {
+fn reply(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
     let text = text.into();
-    let is_json = text.starts_with('{');
+    let is_json = text.starts_with(b"{");
     let content_type = if is_json { "application/json" } else { "text/plain" };
     let mut response = Response::new(Body::whole(text));
     *response.status_mut() = status;
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde_json::Value;
+use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -356,6 +358,27 @@
     observe(&site, "answers that are not read", gateway, caller, 100).await;
 }
 
+/// Guards against copies of the configuration that a controller holds for operators that do not read their answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn configurations_that_are_not_read_are_bounded_together() {
+    let _alone = LOCK.lock().await;
+    let site = Site::start(223);
+    let _desk = Vm::start("desk0", "desk", site.controllers.clone()).await;
+    let mut large: Value = serde_json::from_str(&document(3)).unwrap();
+    large["routes"][0]["name"] = json!("notes".repeat(600_000));
+    let adopted = site
+        .call_controllers("PUT", "/configuration", &large.to_string())
+        .await;
+    assert_eq!(adopted.map(|(status, _)| status), Some(200));
+    let mut caller = Caller::announced(0, 0);
+    caller.call = "GET /configuration";
+    // The sockets take the first answers.
+    let further = "GET /configuration HTTP/1.1\r\nhost: a.example\r\n\r\n";
+    caller.last = further.repeat(4).into_bytes();
+    let controller = ("fleet0", site.controllers[0]);
+    observe(&site, "configurations that are not read", controller, caller, 100).await;
+}
+
 /// Guards against a budget that refuses a single request within the limits, and against a refusal that is
 /// lost because the body was not read.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
