disk: a write goes on after the file of the log could not be created

What operators saw: nothing yet. A controller whose disk refuses the first append, so that `log` is not created, retries without end, also once the disk has room.

Cause: the retry cut off what the failed append might have left, and the truncation of a missing file is an error.

Change: a missing log is an empty one.

The simulated disk used to panic at the truncation of a missing file and now fails as the file system does.

--- a/src/adapters/disk/folder.rs
+++ b/src/adapters/disk/folder.rs
@@ -1,6 +1,7 @@
 //! The data folder of one voter.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -111,10 +112,7 @@
         self.truncate_records(first.index)?;
         let mut end_offset = self.record_ends.last().map_or(0, |(_, end)| *end);
         if self.is_dirty {
-            self.files
-                .truncate(&path, end_offset)
-                .change_context(Error::Write)?;
-            self.files.sync(&path).change_context(Error::Write)?;
+            self.cut_log(end_offset)?;
         }
         let is_new_file = end_offset == 0;
         let mut bytes = Vec::new();
@@ -167,13 +165,21 @@
             return Ok(());
         }
         let length = kept.checked_sub(1).map_or(0, |last| self.record_ends[last].1);
-        let path = self.path.join("log");
-        self.files.truncate(&path, length).change_context(Error::Write)?;
-        self.files.sync(&path).change_context(Error::Write)?;
+        self.cut_log(length)?;
         self.record_ends.truncate(kept);
         Ok(())
     }
 
+    /// Shortens `log` to `length` bytes and makes that durable; a failed append may not even have created it.
+    fn cut_log(&mut self, length: u64) -> Result<(), Report<Error>> {
+        let path = self.path.join("log");
+        match self.files.truncate(&path, length) {
+            Err(e) if e.kind() == ErrorKind::NotFound => return Ok(()),
+            truncated => truncated.change_context(Error::Write)?,
+        }
+        self.files.sync(&path).change_context(Error::Write)
+    }
+
     /// Reads the records of `log` after the snapshot, and truncates a torn last one.
     ///
     /// The file does not exist before the first record or snapshot is saved. Records that the snapshot replaced
@@ -195,8 +201,7 @@
                 Decoded::End => break,
                 Decoded::Torn => {
                     reject_damage_before_tail(rest)?;
-                    self.files.truncate(&path, end).change_context(Error::Write)?;
-                    self.files.sync(&path).change_context(Error::Write)?;
+                    self.cut_log(end)?;
                     break;
                 }
                 Decoded::Valid(item, after) => {
--- a/tests/disk.rs
+++ b/tests/disk.rs
@@ -30,6 +30,8 @@
     operations: usize,
     /// Number of operations that succeed; all later ones fail.
     crash_at: usize,
+    /// The only operation that fails, if there is one.
+    refused: Option<usize>,
     /// Bytes of an unsynced tail that survive the crash, at most.
     torn_bytes: usize,
 }
@@ -43,7 +45,7 @@
     fn run_operation(&self, change: impl FnOnce(&mut DiskState)) -> io::Result<()> {
         let mut state = self.0.lock().unwrap();
         state.operations += 1;
-        if state.operations > state.crash_at {
+        if state.operations > state.crash_at || state.refused == Some(state.operations) {
             return Err(io::Error::other("crash"));
         }
         change(&mut state);
@@ -113,6 +115,9 @@
     }
 
     fn truncate(&mut self, path: &Path, length: u64) -> io::Result<()> {
+        if !self.0.lock().unwrap().visible.contains_key(path) {
+            return Err(io::ErrorKind::NotFound.into());
+        }
         self.run_operation(|state| state.visible.get_mut(path).unwrap().truncate(length as usize))
     }
 
@@ -392,6 +397,35 @@
     println!("{crash_points} pairs of crash points");
 }
 
+/// Guards against a voter that retries a write without end: a full disk may refuse to create a file, too.
+#[test]
+fn a_write_that_is_refused_once_succeeds_when_it_is_retried() {
+    for refused in 1.. {
+        let disk = Disk::with_files(BTreeMap::new());
+        Folder::create(disk.clone(), data_folder(), "c1", &["c1".to_owned()]).unwrap();
+        let mut voter = Voter::open(&disk);
+        let operations = disk.0.lock().unwrap().operations;
+        disk.0.lock().unwrap().refused = Some(operations + refused);
+        let records: Vec<Record> = (1..=4).map(|i| record(i, 1)).collect();
+        let retry = |save: &mut dyn FnMut() -> bool| assert!((0..3).any(|_| save()), "operation {refused}");
+        retry(&mut || voter.folder.save_records(&records).is_ok());
+        retry(&mut || voter.folder.save_records(&[record(3, 2)]).is_ok());
+        retry(&mut || {
+            voter
+                .folder
+                .save_snapshot(&snapshot(2, 1), &[record(3, 2)])
+                .is_ok()
+        });
+        retry(&mut || voter.folder.save_records(&[record(4, 2)]).is_ok());
+        let restarted = Voter::open(&disk.after_crash());
+        assert_eq!(restarted.journal.snapshot().index, 2);
+        assert_eq!(restarted.journal.range(0, 9), [record(3, 2), record(4, 2)]);
+        if disk.0.lock().unwrap().operations < operations + refused {
+            return;
+        }
+    }
+}
+
 /// Guards against voters that stay down: earlier versions appended behind records that the snapshot had replaced.
 #[test]
 fn a_folder_whose_replaced_records_were_never_removed_opens() {
