catalog: negative weights are refused

Cause: the decoder raised a negative weight to 0, so that weights which add up to 0 passed the validation.

Change: a negative weight is refused with the name of its route.

Evidence: tests/catalog.rs, a_malformed_document_is_rejected_with_the_path _of_the_fault, failed before for the weights 90 and -90.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -141,7 +141,7 @@
 /// # Errors
 ///
 /// Path and reason of the first field that cannot be decoded, or the name of a route
-/// that has an unknown type or no service.
+/// that has an unknown type, no service or a negative weight.
 pub fn decode(body: &[u8]) -> Result<Definition, String> {
     let mut deserializer = serde_json::Deserializer::from_slice(body);
     let document: Document = serde_path_to_error::deserialize(&mut deserializer)
@@ -179,7 +179,10 @@
         other => return Err(format!("route {}: no type {other}", route.name)),
     };
     let shares = match (route.traffic_split, route.service) {
-        (Some(split), _) => split.into_iter().map(convert_split).collect(),
+        (Some(split), _) => split
+            .into_iter()
+            .map(|split| convert_split(&route.name, split))
+            .collect::<Result<_, _>>()?,
         (None, Some(service)) => vec![catalog::Share { service, weight: 1 }],
         (None, None) => return Err(format!("route {}: no service", route.name)),
     };
@@ -211,12 +214,15 @@
     }
 }
 
-fn convert_split(split: Split) -> catalog::Share {
-    catalog::Share {
+fn convert_split(route: &str, split: Split) -> Result<catalog::Share, String> {
+    if split.weight < 0.0 {
+        return Err(format!("route {route}: the weight {} is negative", split.weight));
+    }
+    Ok(catalog::Share {
         service: split.service,
         // Weights may be fractional; the catalog holds integers, in thousandths.
-        weight: (split.weight.max(0.0) * 1000.0) as u64,
-    }
+        weight: (split.weight * 1000.0) as u64,
+    })
 }
 
 fn convert_service(service: Service) -> catalog::Service {
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -147,6 +147,14 @@
     wrong["routes"][0]["timeout-ms"] = json!("soon");
     let reason = decode(&wrong).unwrap_err();
     assert!(reason.contains("routes[0]"), "{reason}");
+    // Weights that add up to 0 all the same are invalid, too.
+    wrong["routes"][0]["timeout-ms"] = json!(8000);
+    wrong["routes"][0]["traffic-split"][1]["weight"] = json!(-90);
+    let reason = decode(&wrong).unwrap_err();
+    assert!(
+        reason.contains("route notes") && reason.contains("-90"),
+        "{reason}"
+    );
     let mut extra = text.clone();
     extra.push_str("{}");
     assert!(configuration::decode(extra.as_bytes()).is_err());
