consensus: no contact of a quorum is none, not one at time 0

A leader that no quorum has answered yet held its lease as if they had at time 0, which a process younger than the lease could take for valid.

--- a/src/domain/consensus/node.rs
+++ b/src/domain/consensus/node.rs
@@ -234,7 +234,9 @@
         self.role == Role::Leader
             && self.transfer_started.is_none()
             && self.journal.term_at(self.commit_index) == Some(self.hard_state.term)
-            && now < self.quorum_contact(now) + self.timing.lease_duration()
+            && self
+                .quorum_contact(now)
+                .is_some_and(|at| now < at + self.timing.lease_duration())
     }
 
     pub(super) fn receive(&mut self, now: Duration, from: &str, message: Message, out: &mut Vec<Action>) {
--- a/src/domain/consensus/replication.rs
+++ b/src/domain/consensus/replication.rs
@@ -39,7 +39,9 @@
     /// heartbeats.
     pub(super) fn tick_leader(&mut self, now: Duration, out: &mut Vec<Action>) {
         let quorum_timeout = self.timing.election_timeout() * 2;
-        if now > self.quorum_contact(now).max(self.elected_at) + quorum_timeout {
+        let contact = self.quorum_contact(now);
+        let contact = contact.map_or(self.elected_at, |at| at.max(self.elected_at));
+        if now > contact + quorum_timeout {
             self.become_follower(now, None);
             return;
         }
@@ -283,22 +285,18 @@
     }
 
     /// Latest time, by the leader's clock, such that a quorum answered a message sent then or
-    /// later; zero if there is none.
-    pub(super) fn quorum_contact(&self, now: Duration) -> Duration {
-        let mut contacts: Vec<Duration> = self
+    /// later; none if a quorum has answered none.
+    pub(super) fn quorum_contact(&self, now: Duration) -> Option<Duration> {
+        let mut contacts: Vec<Option<Duration>> = self
             .voters()
             .iter()
             .map(|v| match self.progress.get(v) {
-                Some(progress) => progress.last_contact.unwrap_or(Duration::ZERO),
-                None if *v == self.id => now,
-                None => Duration::ZERO,
+                Some(progress) => progress.last_contact,
+                None => (*v == self.id).then_some(now),
             })
             .collect();
         contacts.sort_unstable_by(|a, b| b.cmp(a));
-        contacts
-            .get(contacts.len() / 2)
-            .copied()
-            .unwrap_or(Duration::ZERO)
+        contacts.get(contacts.len() / 2).copied().flatten()
     }
 
     pub(super) fn on_install(
