gateway: a late answer is taken while the body of another one is read

What callers saw: a whole answer that came after 2.6 s was passed on at the deadline of 4 s, as another upstream had sent a head without its body.

Cause: the body of whichever head came first was read while the other send was not polled.

Change: each send is read to the end of its body by itself, and the first whole answer counts. What concerns late answers moves to gateway/late.rs.

--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -1,13 +1,16 @@
 //! What one send has led to: the head of its answer, and its body unless that is an event stream.
 
+use std::sync::Arc;
+
 use http::Response;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::attempt::Head;
-use super::dispatch::Dispatch;
+use super::context::Context;
 use super::dispatch::elapsed_ms;
 use super::evidence;
+use super::request::Request;
 use super::request::strip_hop_by_hop;
 use super::send::Classification;
 use super::send::Send;
@@ -19,6 +22,7 @@
 use crate::adapters::http1::Failure;
 use crate::adapters::http1::Incomplete;
 use crate::adapters::http1::collect_held;
+use crate::domain::catalog::Service;
 use crate::domain::gateway::Outcome;
 use crate::domain::memory::Kind;
 use crate::logging;
@@ -35,13 +39,22 @@
     Unknown(Option<Response<Body>>),
 }
 
-impl Dispatch<'_> {
-    /// Handles the head of an answer, or its absence.
-    pub(super) async fn read_head(&mut self, send: Send, head: Head) -> Delivery {
+/// Reader of the answer to one send.
+#[derive(Clone, Copy)]
+pub(super) struct Reader<'a> {
+    pub(super) context: &'a Arc<Context>,
+    pub(super) request: &'a Arc<Request>,
+    pub(super) service: &'a Service,
+    /// Number of sends of the request so far.
+    pub(super) sends: usize,
+}
+
+impl Reader<'_> {
+    /// Handles the head of an answer, or its absence, and reads its body unless that is an event stream.
+    pub(super) async fn read(&self, send: Send, head: Head) -> Delivery {
         match head {
             Head::Arrived(response, connection) => self.read_response(*response, connection, send).await,
             Head::Late => {
-                self.runs += 1;
                 self.end_failed(send, Outcome::Stalled, "no answer in time");
                 Delivery::Unknown(None)
             }
@@ -52,13 +65,11 @@
                 Delivery::NotRun
             }
             Head::Failed(Failure::Unknown) => {
-                self.runs += 1;
                 evidence::record_lost_connection(&send, self.request);
                 self.end_failed(send, Outcome::Failed, "connection lost");
                 Delivery::Unknown(None)
             }
             Head::Failed(Failure::Invalid) => {
-                self.runs += 1;
                 self.end_failed(send, Outcome::Failed, "no answer in the protocol");
                 Delivery::Unknown(None)
             }
@@ -67,7 +78,7 @@
 
     /// Classifies an answer's head, then reads its body unless it is an event stream.
     async fn read_response(
-        &mut self,
+        &self,
         response: Response<Incoming>,
         connection: Connection,
         send: Send,
@@ -79,7 +90,6 @@
                 return Delivery::NotRun;
             }
             Classification::Foreign => {
-                self.runs += 1;
                 self.end_failed(
                     send,
                     Outcome::Failed,
@@ -87,7 +97,7 @@
                 );
                 return Delivery::Unknown(None);
             }
-            Classification::Own => self.runs += 1,
+            Classification::Own => {}
         }
         if self.request.route.streams && response.status().is_success() {
             return Delivery::Stream(response, connection, Box::new(send));
@@ -95,12 +105,7 @@
         self.read_body(response, connection, send).await
     }
 
-    async fn read_body(
-        &mut self,
-        response: Response<Incoming>,
-        connection: Connection,
-        send: Send,
-    ) -> Delivery {
+    async fn read_body(&self, response: Response<Incoming>, connection: Connection, send: Send) -> Delivery {
         let (head, mut body) = response.into_parts();
         let time_left = self.request.deadline.saturating_sub(clock::now());
         let hold = self
@@ -166,7 +171,7 @@
             ("target", send.target.id.as_str().into()),
             ("outcome", outcome_text.as_str().into()),
             ("reason", reason.into()),
-            ("sends", (self.tried.len() as u64).into()),
+            ("sends", (self.sends as u64).into()),
             ("after_ms", elapsed_ms(self.request).into()),
             ("fingerprint", self.request.fingerprint().into()),
         ];
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -2,7 +2,6 @@
 //!
 //! A request here is one attempt of its caller (`x-attempt-id`), which may be sent several times.
 
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +14,7 @@
 use super::attempt::Head;
 use super::context::Context;
 use super::delivery::Delivery;
+use super::delivery::Reader;
 use super::evidence;
 use super::permit;
 use super::request::Request;
@@ -37,18 +37,10 @@
 
 /// Number of sends that no target executed after which the request is not sent again.
 pub(super) const MAX_UNEXECUTED_SENDS: usize = 3;
-/// Time after which an answer's head counts as late, as a multiple of the route's latency objective.
-const HEAD_TIMEOUT_GOALS: u32 = 4;
-/// Lower bound of the time after which an answer's head counts as late.
-const MIN_HEAD_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Interval at which another target is looked for while an answer is late.
-const SECOND_SEND_INTERVAL: Duration = Duration::from_millis(200);
-/// Longest wait for a permit of a further send while an answer is late.
-const SECOND_SEND_WAIT: Duration = Duration::from_millis(20);
 /// Asks for a permit by a request that waits: another request of this gateway may use the permit that was issued.
 const MAX_ASKS: u32 = 3;
 /// Shortest time to the deadline for which a send is worth the work that it causes.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
+pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
 /// Reason of refusals and errors during a planned stop.
 pub(super) const STOP_REASON: &str = "shutting down";
@@ -192,7 +184,7 @@
     }
 
     /// Whether limits allow another send; if so, takes a retry out of the budget.
-    fn may_send_again(&self) -> bool {
+    pub(super) fn may_send_again(&self) -> bool {
         if self.runs >= self.request.route.max_sends || self.unexecuted >= MAX_UNEXECUTED_SENDS {
             return false;
         }
@@ -245,7 +237,7 @@
     }
 
     /// Criteria of a target that leaves `reserve` slots free.
-    fn criteria(&self, reserve: u32) -> Criteria<'_> {
+    pub(super) fn criteria(&self, reserve: u32) -> Criteria<'_> {
         Criteria {
             service: self.service,
             model: self.request.model.as_deref(),
@@ -257,104 +249,28 @@
         }
     }
 
-    /// Sends the request to a target and, once the answer is late, to another one, too.
-    ///
-    /// A target that is late may still answer, so its send goes on until the other one has led to an
-    /// answer.
-    async fn send(&mut self, target: Target) -> Delivery {
-        let Some(first) = self.start(target) else {
-            return Delivery::NotRun;
-        };
-        let mut first = pin!(first);
-        if !self.may_add_send() {
-            let (send, head) = first.await;
-            return self.read_head(send, head).await;
-        }
-        if let Ok((send, head)) = timeout(self.head_timeout(), &mut first).await {
-            return self.read_head(send, head).await;
-        }
-        self.record_silence();
-        loop {
-            let Some(second) = self.start_second().await else {
-                match timeout(SECOND_SEND_INTERVAL, &mut first).await {
-                    Ok((send, head)) => return self.read_head(send, head).await,
-                    Err(_) => continue,
-                }
-            };
-            let mut second = pin!(second);
-            let (is_first, (send, head)) = tokio::select! {
-                sent = &mut first => (true, sent),
-                sent = &mut second => (false, sent),
-            };
-            match (self.read_head(send, head).await, is_first) {
-                (delivery @ (Delivery::Answer(_) | Delivery::Stream(..)), _) => {
-                    // The other send ends here; its target may have executed the request.
-                    self.runs += 1;
-                    return delivery;
-                }
-                (failed, true) => {
-                    self.record_failure(failed);
-                    let (send, head) = second.await;
-                    return self.read_head(send, head).await;
-                }
-                (failed, false) => self.record_failure(failed),
-            }
+    pub(super) fn reader(&self) -> Reader<'a> {
+        Reader {
+            context: self.context,
+            request: self.request,
+            service: self.service,
+            sends: self.tried.len(),
         }
     }
 
-    fn start(&mut self, target: Target) -> Option<impl Future<Output = (Send, Head)> + use<>> {
-        self.tried.push(target.id.clone());
-        attempt::start(self.context, self.request, self.service, target)
+    /// Counts a send that has ended, if its target may have executed the request.
+    pub(super) fn count(&mut self, delivery: Delivery) -> Delivery {
+        self.runs += u32::from(!matches!(delivery, Delivery::NotRun));
+        delivery
     }
 
-    /// Whether the route allows another send beside the one in progress.
-    fn may_add_send(&self) -> bool {
-        self.request.is_repeatable() && self.runs + 1 < self.request.route.max_sends
-    }
-
-    /// Starts a send to a further target, beside one in progress, if limits allow it and a target has
-    /// room immediately.
-    async fn start_second(&mut self) -> Option<impl Future<Output = (Send, Head)> + use<>> {
-        let is_quarantined = self.context.quarantined_mark(&self.request.marks).is_some();
-        if !self.may_add_send() || is_quarantined || clock::now() + MIN_TIME_LEFT >= self.request.deadline {
-            return None;
-        }
-        let criteria = self.criteria(0);
-        let mut choice = self.context.balancer().choose(clock::now(), &criteria);
-        if matches!(choice, Choice::Full(_)) {
-            permit::ask(self.context, &criteria, self.request, SECOND_SEND_WAIT).await;
-            choice = self.context.balancer().choose(clock::now(), &criteria);
-        }
-        let Choice::Send { target, load, place } = choice else {
-            return None;
-        };
-        if self.tried.contains(&target.id) || !self.may_send_again() {
-            return None;
-        }
-        self.record_sent((&target, load, place), Duration::ZERO);
-        self.start(target)
-    }
-
-    /// Records that the answer of the last send is late, so that its target gets no new requests for a while.
-    fn record_silence(&self) {
-        let Some(target) = self.tried.last() else {
-            return;
-        };
-        let is_suspect = self.context.reach().is_link_suspect(clock::now(), target);
-        if !is_suspect {
-            self.context.balancer().record_silence(clock::now(), target);
-        }
-        logging::SEND_FAILED.log_fields(&[
-            ("request", self.request.id.as_str().into()),
-            ("target", target.as_str().into()),
-            ("reason", "no answer in time".into()),
-            ("sends", (self.tried.len() as u64).into()),
-            ("after_ms", elapsed_ms(self.request).into()),
-        ]);
+    pub(super) fn start(&mut self, target: Target) -> Option<impl Future<Output = (Send, Head)> + use<>> {
+        self.tried.push(target.id.clone());
+        attempt::start(self.context, self.request, self.service, target)
     }
 
     /// Keeps what a send that did not lead to an answer leaves behind.
-    fn record_failure(&mut self, delivery: Delivery) {
+    pub(super) fn record_failure(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::NotRun => self.unexecuted += 1,
             Delivery::Unknown(None) => self.has_lost_answer = true,
@@ -363,12 +279,6 @@
         }
     }
 
-    /// Time after which the head of an answer counts as late.
-    fn head_timeout(&self) -> Duration {
-        let goal = Duration::from_millis(self.request.route.goal_ms);
-        (goal * HEAD_TIMEOUT_GOALS).max(MIN_HEAD_TIMEOUT)
-    }
-
     /// Final answer after the sends have failed: the upstream's error if there is one, else a refusal
     /// if no target executed the request, else `status` with `reason`.
     ///
@@ -401,7 +311,7 @@
         answer::unavailable(reason, delay)
     }
 
-    fn record_sent(&self, choice: (&Target, u32, Place), waited: Duration) {
+    pub(super) fn record_sent(&self, choice: (&Target, u32, Place), waited: Duration) {
         let fields = [
             ("waited_ms", (waited.as_millis() as u64).into()),
             ("version", self.request.catalog.version().into()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod evidence;
 mod heartbeat;
 mod intake;
+mod late;
 mod metrics;
 mod permit;
 mod request;
