--- a/tests/invalid_answers.rs
+++ b/tests/invalid_answers.rs
@@ -1,5 +1,6 @@
 //! Upstreams in trouble whose answers are none in the protocol, or never come to an end.
 
+mod partition;
 mod site;
 
 use std::sync::Arc;
@@ -8,7 +9,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use partition::Cut;
+use partition::Links;
+use site::ACCOUNT_KEY;
+use site::STATE_TIMEOUT;
 use site::Site;
+use site::call;
 use site::raw::Step;
 use site::raw::answer_head;
 use site::raw::send;
@@ -155,3 +161,73 @@
         }
     }
 }
+
+/// Some answers that are none: a status, a head that is broken off, interim answers without end.
+fn invalid_answer(head: &str, case: usize) -> Vec<Step> {
+    let whole = answer_head(head);
+    match case {
+        0 => vec![Step::Send(format!(
+            "{}content-length: 0\r\n\r\n",
+            whole.replace("200 OK", "999 Text")
+        ))],
+        1 => vec![Step::Send(whole), Step::Close],
+        _ => vec![Step::SendWithoutEnd(
+            "HTTP/1.1 100 Continue\r\n\r\n".repeat(300),
+            Duration::ZERO,
+        )],
+    }
+}
+
+/// Guards against a second answer that is none and ends the wait for a first, late one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_answer_is_not_given_up_for_a_second_one_that_is_invalid() {
+    const SLOW_HEAD: Duration = Duration::from_millis(2_600);
+    let sends: Arc<[AtomicUsize; 3]> = Arc::default();
+    let script = move |head: &str| {
+        let case = case_number(head);
+        if sends[case].fetch_add(1, Ordering::Relaxed) > 0 {
+            return invalid_answer(head, case);
+        }
+        let answer = format!("{}content-length: 5\r\n\r\nwhole", answer_head(head));
+        vec![Step::Pause(SLOW_HEAD), Step::Send(answer)]
+    };
+    let (site, upstreams) = site_with_raw_upstreams(158, script).await;
+    for case in 0..3 {
+        let (status, body) = send(&site, &format!("/lookup/{case}")).await.expect("an answer");
+        assert_eq!((status, body.as_ref()), (200, &b"whole"[..]), "case {case}");
+    }
+    let requests: usize = upstreams.iter().map(|u| u.request_count()).sum();
+    assert!(requests > 3, "no second send");
+}
+
+/// The same over another gateway's connection, for one that can't reach the upstreams itself.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_invalid_answer_over_a_helper_is_an_error() {
+    let script = |head: &str| invalid_answer(head, case_number(head));
+    let (site, _upstreams) = site_with_raw_upstreams(159, script).await;
+    let cut = Cut::start(&site, "cut").await;
+    cut.set(Links::Refuse);
+    let bearer = format!("Bearer {ACCOUNT_KEY}");
+    let headers = [
+        ("x-attempt-id", "a1"),
+        ("x-deadline-ms", "4000"),
+        ("authorization", bearer.as_str()),
+    ];
+    let started = Instant::now();
+    while call(cut.address, "POST", "/orders/1", "", &headers)
+        .await
+        .is_none_or(|(status, _)| status != 200)
+    {
+        assert!(started.elapsed() < STATE_TIMEOUT, "no detour");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for case in 0..3 {
+        let started = Instant::now();
+        let answer = call(cut.address, "POST", &format!("/once/{case}"), "", &headers).await;
+        let status = answer.map(|(status, _)| status);
+        assert!(matches!(status, Some(502 | 504)), "case {case}: {status:?}");
+        assert!(started.elapsed() < Duration::from_secs(5), "case {case}");
+        let sound = call(cut.address, "POST", "/orders/1", "", &headers).await;
+        assert_eq!(sound.map(|(status, _)| status), Some(200), "after case {case}");
+    }
+}
