--- a/src/adapters/disk/mod.rs
+++ b/src/adapters/disk/mod.rs
@@ -5,7 +5,7 @@
 //! | `identity` | identity of this voter, written when the folder is created |
 //! | `hard` | hard state: term and vote |
 //! | `snapshot` | last snapshot |
-//! | `log` | records after the snapshot |
+//! | `log` | records after the snapshot; after a crash between the two replacements also older ones, until the next save |
 //!
 //! Every stored item is framed by its length and CRC-32. A file is replaced by writing
 //! a new one, syncing it, renaming it over the old one and syncing the folder; only
--- a/src/domain/fleet/heartbeats.rs
+++ b/src/domain/fleet/heartbeats.rs
@@ -3,8 +3,7 @@
 //! A gateway passes a heartbeat on to its controller unless it directly follows one that this controller
 //! has acknowledged and has the same content. Such a heartbeat is acknowledged by the gateway itself and
 //! goes into its next report as a renewal. When the controller changes, or may have restarted, all
-//! heartbeats are passed on again; and those of a VM that the controller does not know, since it has forgotten
-//! the VM, which is silent for long from its point of view.
+//! heartbeats are passed on again. So is the latest one of a VM that the controller does not know any more.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/tests/service_answers.rs
+++ b/tests/service_answers.rs
@@ -19,7 +19,8 @@
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time for an answer of a service.
 const TIME_LIMIT: Duration = Duration::from_millis(1_500);
-/// Bytes that three calls read: the largest answer of a service, and what the buffers of three sockets hold.
+/// Bytes that three calls read: the largest answer of a service, and what the buffers of three connections hold, by
+/// the default limits of Linux 4 MiB at the sender and 6 MiB at the receiver.
 const MAX_BYTES_READ: usize = (16 + 3 * 10) << 20;
 
 /// Calls a service, an engine, and for a report; returns what is taken for an answer in each case.
