review: stand-ins know all groups, late orders and cuts

World records which head is open and which members have left, so that a join while a former head is open shows.

--- a/review/standin-3/cases/crashing.rs
+++ b/review/standin-3/cases/crashing.rs
@@ -17,6 +17,7 @@
 use crate::record::Record;
 use crate::site;
 use crate::site::Site;
+use crate::world::World;
 
 const BAD_PATH: &str = "/stock/bad";
 /// Time for which a replica is down after a crash.
@@ -35,6 +36,7 @@
     };
     let site = Site::start(&ZONES, 3, 2, record)?;
     let crash = Arc::new(|request: &Message| request.second_word() == BAD_PATH);
+    let world = World::new(None, record);
     let mut desk = Vec::new();
     for i in 0..replicas {
         let address = site::address(site.replica_ip(i), 0);
@@ -48,7 +50,7 @@
             names,
             address,
             site.admin(),
-            (crash.clone(), DOWN),
+            (crash.clone(), DOWN, world.clone()),
             record,
         )?);
     }
--- a/review/standin-3/cases/parts.rs
+++ b/review/standin-3/cases/parts.rs
@@ -23,6 +23,7 @@
 use crate::record::Record;
 use crate::site;
 use crate::site::Site;
+use crate::world::World;
 
 const BAD_PART: &str = "bad0bad0";
 /// Parts of a prompt, without the last one, which belongs to the request itself.
@@ -103,6 +104,7 @@
 fn start(record: &Record) -> Result<(Site, Vec<Engine>), String> {
     let site = Site::start(&ZONES, 3, 2, record)?;
     let crash = Arc::new(|request: &Message| request.text("x-prefix-hash").contains(BAD_PART));
+    let world = World::new(None, record);
     let mut engines = Vec::new();
     for i in 0..ENGINES {
         let (id, domain) = (format!("i-llm{i:02}"), format!("d{}", i / DOMAIN));
@@ -112,7 +114,7 @@
             names,
             address,
             site.admin(),
-            (crash.clone(), DOWN),
+            (crash.clone(), DOWN, world.clone()),
             record,
         )?);
     }
@@ -131,7 +133,7 @@
 }
 
 /// Manifest with a resumable streaming route to model replicas, of which each is a group by itself.
-fn manifest() -> String {
+pub(super) fn manifest() -> String {
     concat!(
         "{\"version\":1,\"routes\":[",
         "{\"name\":\"chat\",\"host\":\"desk.example\",\"path-prefix\":\"/chat/\",\"type\":\"streaming\",",
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -19,6 +19,7 @@
 use crate::http::Message;
 use crate::operator;
 use crate::record::Record;
+use crate::world::World;
 
 /// Interval of check-ins.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
@@ -29,6 +30,8 @@
 /// Time until the first event, and between events.
 const FIRST_EVENT: Duration = Duration::from_millis(100);
 const PAUSE: Duration = Duration::from_millis(30);
+/// Time for which a replica is partitioned from the core.
+const CUT: Duration = Duration::from_secs(10);
 /// Events of a stream.
 const EVENTS: u64 = 10;
 
@@ -55,6 +58,8 @@
     staged: HashSet<String>,
     streams: Vec<TcpStream>,
     is_down: bool,
+    /// Until when it is partitioned from the core: it gets no order, and no check-in reaches the control plane.
+    cut_until: Option<Instant>,
 }
 
 impl State {
@@ -89,6 +94,7 @@
     /// Time for which it is down after a crash.
     down: Duration,
     crash: Arc<Crash>,
+    world: World,
     record: Record,
 }
 
@@ -97,7 +103,7 @@
         (id, service, zone, domain): (&str, &str, &str, &str),
         address: SocketAddr,
         control: Vec<SocketAddr>,
-        (crash, down): (Arc<Crash>, Duration),
+        (crash, down, world): (Arc<Crash>, Duration, World),
         record: &Record,
     ) -> Result<Engine, String> {
         let listener = TcpListener::bind(address).map_err(|e| format!("{address}: {e}"))?;
@@ -112,6 +118,7 @@
             crashes: Arc::default(),
             down,
             crash,
+            world,
             record: record.clone(),
         };
         let server = engine.clone();
@@ -214,7 +221,17 @@
                 connection.write(&answer("200 OK", &format!("X-Replica-Id: {}\r\n", self.id)))
             } else if !target.is_empty() && target != self.id {
                 connection.write(&answer("421 Misdirected Request", "X-Not-Executed: 1\r\n"))
+            } else if path == "/order" && self.is_cut() {
+                // Nothing of it arrives.
+                return self.hold(connection);
             } else if path == "/order" {
+                let order = String::from_utf8_lossy(&request.body).into_owned();
+                if field(&order, "operation") == "open"
+                    && let Some(delay) = self.world.take_late_open()
+                {
+                    self.open_late(order, boot, delay);
+                    return self.hold(connection);
+                }
                 let status = self.obey(&String::from_utf8_lossy(&request.body), boot);
                 connection.write(&answer(status, ""))
             } else if self.is_plain() {
@@ -230,6 +247,35 @@
         }
     }
 
+    fn is_cut(&self) -> bool {
+        let state = self.state.0.lock().unwrap();
+        state.cut_until.is_some_and(|end| Instant::now() < end)
+    }
+
+    /// Keeps a connection open without an answer.
+    fn hold(&self, connection: Connection) {
+        thread::sleep(CUT);
+        drop(connection);
+    }
+
+    /// Leaves an order to open without an answer and carries it out later. Meanwhile the core is out of reach.
+    fn open_late(&self, order: String, boot: u64, delay: Duration) {
+        self.record.line(&format!(
+            "replica {} gets {order}, without an answer, and is cut off from the core",
+            self.id
+        ));
+        self.state.0.lock().unwrap().cut_until = Some(Instant::now() + CUT);
+        let engine = self.clone();
+        thread::spawn(move || {
+            thread::sleep(delay);
+            let status = engine.obey(&order, boot);
+            engine.record.line(&format!(
+                "replica {} carries out the late order to open: {status}",
+                engine.id
+            ));
+        });
+    }
+
     fn run_plain(&self, connection: &mut Connection, request: &Message) -> std::io::Result<()> {
         self.runs.lock().unwrap().push((Instant::now(), request.clone()));
         thread::sleep(PAUSE);
@@ -278,6 +324,8 @@
         if fence < state.fence {
             return "412 Precondition Failed";
         }
+        self.record
+            .line(&format!("replica {} is ordered: {order}", self.id));
         state.fence = fence;
         let is_member = state
             .membership
@@ -302,6 +350,7 @@
                     };
                 }
                 state.epoch = epoch;
+                self.world.join(&self.id, epoch, &members);
                 let model = field(order, "model-name");
                 let time = if state.staged.contains(&model) {
                     WARMUP
@@ -325,7 +374,11 @@
             "open" => match state.membership.as_ref().map(|m| m.phase) {
                 Some("ready") if is_member => {
                     drop(state);
-                    self.later(boot, epoch, OPENING, |_| "open");
+                    let world = self.world.clone();
+                    self.later(boot, epoch, OPENING, move |_| {
+                        world.open(epoch);
+                        "open"
+                    });
                 }
                 Some("open") if is_member => return "200 OK",
                 _ => return "409 Conflict",
@@ -338,6 +391,7 @@
             }
             "leave" if is_member => {
                 state.membership = None;
+                self.world.leave(&self.id, epoch);
                 self.state.1.notify_all();
             }
             "phase-name" => {
@@ -400,6 +454,12 @@
                 self.service, self.address, self.zone, self.domain
             );
             let node = next.take().unwrap_or(control[turn % control.len()]);
+            if self.is_cut() && control.contains(&node) {
+                // Nothing of it arrives; the next node is tried after a second without a response.
+                thread::sleep(operator::TIMEOUT);
+                turn += 1;
+                continue;
+            }
             let host = node.to_string();
             let headers: [(&str, &[u8]); 2] =
                 [("Host", host.as_bytes()), ("Content-Type", b"application/json")];
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -11,6 +11,7 @@
 mod record;
 mod replica;
 mod site;
+mod world;
 
 use std::path::Path;
 use std::process::ExitCode;
