fleet: the absence of a catalog is not version 0

Cause: version 0 stood for no catalog in state, digests, reports, overviews, calls and gateways, so the leader had nothing newer for a gateway without one.

Change: the version is an Option there; messages carry a field beside the number, which the build before ignores and whose absence is read as that build means it. A gateway without a catalog logs null, and its metric is -1.

Before: the new test in tests/gateway.rs ended after 30 s with 503, `no configuration in force`. After: it passes in 0.5 s, and so does tests/distribution.rs (8 tests).

--- a/src/domain/fleet/call.rs
+++ b/src/domain/fleet/call.rs
@@ -10,6 +10,7 @@
 use super::Document;
 use super::Helper;
 use super::Overview;
+use super::version;
 use crate::domain::catalog::Compressed;
 use crate::domain::limit::Ask;
 use crate::domain::limit::Notice;
@@ -24,7 +25,8 @@
     /// Term of the leader that sent the gateway's targets, and revision of the targets within it.
     pub targets: (u64, u64),
     /// Version of the catalog that the gateway holds.
-    pub version: u64,
+    #[serde(flatten, with = "version::held")]
+    pub version: Option<u64>,
     /// This gateway's requests in progress, by target.
     pub running: BTreeMap<String, u32>,
     /// Identifiers of targets that answered or sent an event within the last second.
@@ -98,7 +100,8 @@
     /// Term of the leader that sent the controller's targets, and revision of the targets within it.
     pub targets: (u64, u64),
     /// Version of the catalog that the controller has relayed to its gateways.
-    pub version: u64,
+    #[serde(flatten, with = "version::held")]
+    pub version: Option<u64>,
     /// Identities of the gateways that report to this controller.
     pub gateways: Vec<String>,
     /// Requests in progress from these gateways, by target.
@@ -183,7 +186,8 @@
     /// A gateway fetches the catalog; any controller answers.
     Catalog {
         /// Version that the gateway holds; only a higher one is sent.
-        above: u64,
+        #[serde(flatten, with = "version::above")]
+        above: Option<u64>,
     },
 }
 
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -288,8 +288,8 @@
     ///
     /// A follower may lag behind. The leader's routing table names the version in force, and a
     /// gateway with an older one does not renew its lease on the catalog.
-    fn newer_catalog(&self, above: u64) -> Answer {
-        let document = self.state.document.as_ref().filter(|d| d.version > above);
+    fn newer_catalog(&self, above: Option<u64>) -> Answer {
+        let document = self.state.document.as_ref().filter(|d| Some(d.version) > above);
         Answer::Catalog(document.map(|d| d.raw.clone()))
     }
 
@@ -301,7 +301,7 @@
         out: &mut Vec<Action>,
     ) {
         // A version that is not newer changes nothing. It is accepted, so a retried call succeeds.
-        if self.state.document.is_some() && document.version <= self.state.version() {
+        if Some(document.version) <= self.state.version() {
             out.push(Action::Answer(ticket, Answer::Done));
             return;
         }
--- a/src/domain/fleet/digests.rs
+++ b/src/domain/fleet/digests.rs
@@ -49,7 +49,7 @@
     /// Term and revision of the targets that the controller holds.
     targets: (u64, u64),
     /// Version of the catalog that the controller holds.
-    version: u64,
+    version: Option<u64>,
     /// Value of [`Core::urgent_changes`] when the digest arrived.
     urgent_changes: usize,
     /// Revision of the helpers that the controller holds.
@@ -201,7 +201,8 @@
             }
         }
         let document = self.state.document.as_ref();
-        let is_inline = |d: &&Document| d.version > poll.version && d.raw.size() <= MAX_INLINE_CATALOG_BYTES;
+        let is_inline =
+            |d: &&Document| Some(d.version) > poll.version && d.raw.size() <= MAX_INLINE_CATALOG_BYTES;
         Overview {
             issues_pace_permits: false,
             revision: self.targets.revision(),
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -50,6 +50,7 @@
 mod state;
 mod target_log;
 mod timing;
+mod version;
 mod view;
 
 pub use announcement::Announcement;
--- a/src/domain/fleet/relay.rs
+++ b/src/domain/fleet/relay.rs
@@ -227,7 +227,7 @@
         Digest {
             controller: self.controller.clone(),
             targets: self.targets.revision(),
-            version: self.held.as_ref().map_or(0, |h| h.overview.version),
+            version: self.held.as_ref().and_then(|h| h.overview.version),
             gateways: self.gateways.keys().cloned().collect(),
             running: self.running.clone(),
             served,
--- a/src/domain/fleet/reports.rs
+++ b/src/domain/fleet/reports.rs
@@ -23,7 +23,7 @@
 pub(super) struct Poll {
     pub(super) ticket: Ticket,
     pub(super) targets: (u64, u64),
-    pub(super) version: u64,
+    pub(super) version: Option<u64>,
     pub(super) urgent_changes: usize,
     pub(super) arrived_at: Duration,
     pub(super) deadline: Duration,
--- a/src/domain/fleet/routing.rs
+++ b/src/domain/fleet/routing.rs
@@ -9,6 +9,7 @@
 use super::Helpers;
 use super::relay::OVERVIEW_VALIDITY;
 use super::target_log::Update;
+use super::version;
 use crate::domain::catalog::Compressed;
 use crate::domain::limit::Limit;
 
@@ -61,7 +62,8 @@
     /// that gateways fetch it from any controller to spread the load.
     pub catalog: Option<Compressed>,
     /// Version of the catalog in force.
-    pub version: u64,
+    #[serde(flatten, with = "version::held")]
+    pub version: Option<u64>,
     /// Requests in progress at each target, in the order of their identifiers. To a controller: those of
     /// gateways that report to other controllers. To a gateway: those of all gateways.
     pub running: Vec<u32>,
--- a/src/domain/fleet/state.rs
+++ b/src/domain/fleet/state.rs
@@ -179,9 +179,9 @@
 }
 
 impl State {
-    /// Version of the catalog in force, 0 for none.
-    pub fn version(&self) -> u64 {
-        self.document.as_ref().map_or(0, |d| d.version)
+    /// Version of the catalog in force.
+    pub fn version(&self) -> Option<u64> {
+        self.document.as_ref().map(|d| d.version)
     }
 
     /// Group that a VM is a member of.
@@ -199,7 +199,7 @@
         self.index = index;
         match command {
             Command::Adopt(document) => {
-                if document.version > self.version() || self.document.is_none() {
+                if Some(document.version) > self.version() {
                     self.document = Some((**document).clone());
                     self.decode_catalog();
                 }
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -56,7 +56,7 @@
                 ("request", id.as_str().into()),
                 ("status", u64::from(status.as_u16()).into()),
                 ("reason", reason.into()),
-                ("version", context.catalog_version().into()),
+                ("version", logging::optional(context.catalog_version())),
             ]);
             let retry_after = match refusal.must_close {
                 true => intake::RETRY_AFTER,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -157,10 +157,10 @@
         self.heartbeats().receive(clock::now(), controller, announcement)
     }
 
-    /// Version of the latest catalog, also when its lease has expired; 0 for none.
-    pub(super) fn catalog_version(&self) -> u64 {
+    /// Version of the latest catalog, also when its lease has expired.
+    pub(super) fn catalog_version(&self) -> Option<u64> {
         let catalog = self.catalog.lock().expect("no panic under this lock");
-        catalog.as_ref().map_or(0, |c| c.version())
+        catalog.as_ref().map(|c| c.version())
     }
 
     pub(super) fn set_catalog(&self, catalog: Arc<Catalog>) {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -48,7 +48,7 @@
     pub(super) wait: Histogram,
     /// Reports to the leading controller by outcome.
     pub(super) reports: IntCounterVec,
-    /// Version of the latest catalog that was put in force.
+    /// Version of the latest catalog that was put in force, -1 before the first one.
     pub(super) version: IntGauge,
     /// Number of targets that the leader named.
     pub(super) targets: IntGauge,
@@ -77,7 +77,7 @@
         let registry = Registry::new("heatherramp_gateway");
         let counters = |name: &str, help: &str, labels: &[&str]| registry.counters(name, help, labels);
         let gauge = |name: &str, help: &str| registry.gauge(name, help);
-        Metrics {
+        let metrics = Metrics {
             requests: counters("requests_total", "Requests by outcome", &["service", "outcome"]),
             refusals: counters("refusals_total", "Refusals by reason", &["reason"]),
             sends: counters("sends_total", "Sends by how they ended", &["service", "outcome"]),
@@ -113,7 +113,7 @@
             tunnels: gauge("tunnels", "Tunnels open for other gateways"),
             stalled_targets: gauge("stalled_targets", "Targets that the last report named as stalled"),
             reports: counters("reports_total", "Reports to the leader by outcome", &["outcome"]),
-            version: gauge("catalog_version", "Version of the catalog in force"),
+            version: gauge("catalog_version", "Version of the catalog in force, -1 for none"),
             targets: gauge("targets", "Targets named by the leader"),
             limited_targets: gauge("limited_targets", "Targets with a rate limit of their own"),
             pace_asks: counters(
@@ -152,7 +152,9 @@
             ),
             events: registry.counter("events_total", "Events passed to callers"),
             registry,
-        }
+        };
+        metrics.version.set(-1);
+        metrics
     }
 
     /// Metrics in the text format of Prometheus.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -46,8 +46,8 @@
 #[derive(Default)]
 struct State {
     targets: TargetLog,
-    /// Version of the catalog that the gateway holds; 0 for none.
-    version: u64,
+    /// Version of the catalog that the gateway holds.
+    version: Option<u64>,
     /// Whether the leader answers, or the catalog's lease has not expired since it did.
     is_connected: bool,
     place: Place,
@@ -165,12 +165,12 @@
     if is_connected {
         logging::CONTROLLER_FOUND.log_fields(&[
             ("term", state.targets.revision().0.into()),
-            ("version", state.version.into()),
+            ("version", logging::optional(state.version)),
         ]);
     } else {
         logging::CONTROLLER_LOST.log_fields(&[
             ("failures", state.failures.into()),
-            ("version", state.version.into()),
+            ("version", logging::optional(state.version)),
         ]);
     }
 }
@@ -261,10 +261,10 @@
 fn apply_catalog(context: &Context, state: &mut State, compressed: &Compressed) {
     match decode_catalog(compressed) {
         Ok(catalog) => {
-            state.version = catalog.version();
-            context.metrics.version.set(state.version as i64);
+            state.version = Some(catalog.version());
+            context.metrics.version.set(catalog.version() as i64);
             logging::CATALOG_APPLIED.log_fields(&[
-                ("version", state.version.into()),
+                ("version", catalog.version().into()),
                 ("routes", (catalog.definition().routes.len() as u64).into()),
             ]);
             context.set_catalog(Arc::new(catalog));
--- a/src/logging/event.rs
+++ b/src/logging/event.rs
@@ -19,6 +19,14 @@
     pub module: &'static str,
 }
 
+/// Value of a field that may be absent; `null` in the log.
+pub fn optional<'v, T>(value: Option<T>) -> Value<'v>
+where
+    Value<'v>: From<T>,
+{
+    value.map_or(Value::null(), Value::from)
+}
+
 impl Event {
     /// Logs a line of text: the event's number, its name and `details`.
     pub fn log(&self, details: fmt::Arguments) {
--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -11,6 +11,7 @@
 
 pub use catalogue::*;
 pub use event::Event;
+pub use event::optional;
 pub use json::start_json;
 pub use queue::Queue;
 pub use timeline::Line;
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -187,7 +187,7 @@
     let report = |gateway: usize, targets| Report {
         gateway: format!("gateway-{gateway}"),
         targets,
-        version: 1,
+        version: Some(1),
         ..Report::default()
     };
     let first = send_report(&mut relay, now, report(0, (0, 0)));
@@ -220,7 +220,7 @@
         GATEWAY_COUNT,
         "not all waiting gateways were answered at once"
     );
-    assert!(tables.iter().all(|t| t.version == 2));
+    assert!(tables.iter().all(|t| t.version == Some(2)));
     let bytes: usize = tables.iter().map(|t| serde_json::to_vec(t).unwrap().len()).sum();
     let bytes = bytes + overview_bytes;
     assert!(
@@ -298,13 +298,13 @@
         let call = Call::Catalog { above };
         answers(follower.step(now, Event::Call { ticket: 9, call }))
     };
-    let newer = fetch(2);
+    let newer = fetch(Some(2));
     let Some(Answer::Catalog(Some(compressed))) = newer.first() else {
         panic!("{newer:?}");
     };
     let definition = compressed.definition().unwrap();
     assert_eq!(definition, catalog(3));
-    assert!(matches!(fetch(3).first(), Some(Answer::Catalog(None))));
+    assert!(matches!(fetch(Some(3)).first(), Some(Answer::Catalog(None))));
 }
 
 #[test]
@@ -327,5 +327,82 @@
             "{stored_bytes} bytes after version {version}"
         );
     }
-    assert_eq!(core.state().version(), 60);
+    assert_eq!(core.state().version(), Some(60));
+}
+
+/// Guards against a first catalog that is acknowledged and never in force, as its version 0 stands for no catalog.
+#[test]
+fn a_first_catalog_with_version_0_reaches_gateways() {
+    let (mut core, now) = leader();
+    let mut relay = relay_of(&mut core, now);
+    let held = |version| Report {
+        gateway: "gateway".to_owned(),
+        version,
+        ..Report::default()
+    };
+    let Some(Answer::Overview(first)) = send_report(&mut relay, now, held(None)).pop() else {
+        panic!("a report without targets was not answered at once");
+    };
+    assert_eq!(first.version, None);
+    let digest = relay.digest(now);
+    assert!(answers(send_digest(&mut core, now, digest)).is_empty());
+    let waiting = Report {
+        targets: first.revision,
+        ..held(None)
+    };
+    assert!(send_report(&mut relay, now, waiting).is_empty());
+    let overviews = answers(submit_new_catalog(&mut core, now, 0));
+    let answered = answer_relay(&mut relay, now, overviews);
+    let is_named = |answer: &Answer| matches!(answer, Answer::Overview(o) if o.version == Some(0));
+    assert!(answered.iter().any(is_named), "{answered:?}");
+    for (above, is_sent) in [(None, true), (Some(0), false)] {
+        let call = Call::Catalog { above };
+        let answer = answers(core.step(now, Event::Call { ticket: 9, call }));
+        let has_catalog = matches!(answer.first(), Some(Answer::Catalog(Some(_))));
+        assert_eq!(has_catalog, is_sent, "above {above:?}");
+    }
+    let is_held = Report {
+        targets: first.revision,
+        ..held(Some(0))
+    };
+    let answered = send_report(&mut relay, now, is_held);
+    assert!(
+        answered.is_empty(),
+        "a gateway with the catalog waits for a change"
+    );
+}
+
+#[test]
+fn the_highest_version_stays_in_force_after_a_catalog_with_version_0() {
+    let (mut core, now) = leader();
+    submit_new_catalog(&mut core, now, 0);
+    assert_eq!(core.state().version(), Some(0));
+    submit_new_catalog(&mut core, now, 4);
+    submit_new_catalog(&mut core, now, 0);
+    assert_eq!(core.state().version(), Some(4));
+}
+
+/// The build before knows a version without a field beside it, and reads 0 as none.
+#[test]
+fn versions_are_readable_by_the_build_before_and_from_it() {
+    for version in [None, Some(0), Some(7)] {
+        let report = Report {
+            version,
+            ..Report::default()
+        };
+        let mut text = serde_json::to_value(&report).unwrap();
+        assert_eq!(text["version"], version.unwrap_or(0));
+        let same: Report = serde_json::from_value(text.clone()).unwrap();
+        assert_eq!(same.version, version);
+        text.as_object_mut().unwrap().remove("has_catalog");
+        let earlier: Report = serde_json::from_value(text).unwrap();
+        assert_eq!(earlier.version, version.filter(|v| *v > 0));
+
+        let mut text = serde_json::to_value(Call::Catalog { above: version }).unwrap();
+        assert_eq!(text["Catalog"]["above"], version.unwrap_or(0));
+        text["Catalog"].as_object_mut().unwrap().remove("has_catalog");
+        let earlier: Call = serde_json::from_value(text).unwrap();
+        let expected = version.filter(|v| *v > 0);
+        assert!(matches!(earlier, Call::Catalog { above } if above == expected));
+    }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -359,3 +359,22 @@
         assert!(started.elapsed() < STATE_TIMEOUT, "no request after the pause");
     }
 }
+
+/// Guards against a first configuration that is acknowledged and never in force, as its version is 0.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_first_configuration_with_version_0_is_served_until_a_higher_one_comes() {
+    let site = Site::start(205);
+    let _vm = Vm::start("desk0", "desk", site.controllers.clone()).await;
+    let bearer = format!("Bearer {ACCOUNT_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let adopted = site.call_controllers("PUT", "/configuration", &document(0)).await;
+    assert_eq!(adopted.unwrap().0, 200);
+    site.send_until("/orders/1", &headers, 200).await;
+    let ready = call(site.status, "GET", "/readyz", "", &[]).await;
+    assert_eq!(ready.unwrap().0, 200, "the gateway is not ready");
+    let higher = document(3).replace("/orders/", "/other/");
+    let adopted = site.call_controllers("PUT", "/configuration", &higher).await;
+    assert_eq!(adopted.unwrap().0, 200);
+    site.send_until("/orders/1", &headers, 404).await;
+    site.send_until("/other/1", &headers, 200).await;
+}
