fleet: a time limit dissolves no group whose head may still be opened

Cause: a head out of reach counted as stopped some time after a member had left, although an order to open was still on its way and opened it later.

Change: orders to open stay unsettled until their answer, or the connection, shows their fate. While one is, only the head's own report, another process in its place or an hour of silence dissolve the group. Orders that never went out are told apart from those without an answer, and groups of earlier leaders are known by their place in the log.

--- a/src/domain/fleet/contact.rs
+++ b/src/domain/fleet/contact.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::Order;
+
 /// Connection that the leader asks for, to learn whether a process listens at a VM's address.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Probe {
@@ -24,7 +26,9 @@
     Misdirected,
     /// The host refused it, so no process listened.
     Refused,
-    /// It timed out, was reset or failed in another way.
+    /// It failed before anything of the order went out.
+    Unsent,
+    /// It timed out, was reset or failed in another way. An order may be carried out all the same, also much later.
     Unclear,
 }
 
@@ -39,4 +43,6 @@
     pub begun: Duration,
     /// How it ended.
     pub reply: Reply,
+    /// The order; none for a probe.
+    pub order: Option<Order>,
 }
--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -68,6 +68,8 @@
     pub(super) shutdown_notices: BTreeMap<String, Notice>,
     /// When this node became leader; none while it follows.
     pub(super) leading_since: Option<Duration>,
+    /// Last index of the log when this node became leader; groups up to it were formed by earlier leaders.
+    pub(super) inherited_index: u64,
     /// Targets that gateways may send new requests to.
     pub(super) targets: TargetLog,
     /// Identifiers of heads, and of VMs without a group, that get no new requests.
@@ -127,6 +129,7 @@
             member_first_seen: BTreeMap::new(),
             shutdown_notices: BTreeMap::new(),
             leading_since: None,
+            inherited_index: 0,
             targets: TargetLog::default(),
             closed: Vec::new(),
             urgent_changes: 0,
--- a/src/domain/fleet/groups.rs
+++ b/src/domain/fleet/groups.rs
@@ -34,6 +34,12 @@
             return;
         }
         self.proofs.record(contact, &self.registry);
+        let order = contact.order.as_ref();
+        if let Some(order) = order.filter(|order| order.task == Task::Open)
+            && let Some(lifecycle) = self.lifecycles.get_mut(&order.epoch)
+        {
+            lifecycle.record_open_reply(now, contact.reply);
+        }
         self.reconcile_due |= matches!(contact.reply, Reply::Refused | Reply::Misdirected);
     }
 
@@ -106,15 +112,11 @@
     ) {
         let mut lifecycles = std::mem::take(&mut self.lifecycles);
         lifecycles.retain(|epoch, _| self.state.groups.contains_key(epoch));
-        // A group from before this leadership may have been opened by an earlier leader.
-        let is_discovering = self
-            .leading_since
-            .is_some_and(|s| now < s + self.timing.leader_discovery_time());
         let mut effects = Vec::new();
         for group in self.state.groups.values() {
             let lifecycle = lifecycles
                 .entry(group.epoch)
-                .or_insert_with(|| Lifecycle::new(now, group, is_discovering));
+                .or_insert_with(|| Lifecycle::new(now, group, group.epoch <= self.inherited_index));
             let view = self.view(now, reports.get(&group.epoch).copied().unwrap_or_default());
             let of_group = lifecycle.advance(group, &view);
             effects.extend(of_group.into_iter().map(|effect| (group.epoch, effect)));
@@ -188,6 +190,7 @@
             registry: &self.registry,
             proofs: &self.proofs,
             timing: &self.timing,
+            catalog: self.state.catalog.as_ref(),
             fence: self.node.term(),
             reports,
             leading_since: self.leading_since.unwrap_or(now),
--- a/src/domain/fleet/lifecycle.rs
+++ b/src/domain/fleet/lifecycle.rs
@@ -4,7 +4,8 @@
 //! closed: the head is ordered to leave, and the members can be claimed by another group only when
 //! the head certainly accepts no more requests. A head that cannot be reached counts as open until
 //! [`Timing::head_stop_time`](super::Timing::head_stop_time) after another member was seen to have left: from then on nothing moves in
-//! the group, and the head refuses requests by itself. An order to leave does not count, since it may be lost.
+//! the group, and the head refuses requests by itself. That holds only for a head that cannot open any more: one that has
+//! been open, or whose orders to open are settled ([`Openings`]). An order to leave does not count, since it may be lost.
 //! When another process has provably taken the place of a head ([`Proofs`](super::proof::Proofs)), its group is
 //! dissolved at once. Refused connections close a group early, but do not dissolve it: links to some VMs may refuse
 //! connections of all machines while a head behind them stays open. A process that has ended gets no orders, and neither does the VM's new process, which has
@@ -21,16 +22,18 @@
 use super::Group;
 use super::Member;
 use super::Order;
+use super::Reply;
 use super::Stage;
 use super::Task;
 use super::Vm;
+use super::opening::Openings;
 use super::view::Loss;
 use super::view::Reports;
 use super::view::View;
 
 /// Time after which an order to the same member may be sent again.
 const ORDER_RETRY_INTERVAL: Duration = Duration::from_millis(1_300);
-/// Time after which a closing group is dissolved if none of its members is known any more.
+/// Time after which a closing group is dissolved if its head is not known any more.
 const ABANDONED_GROUP_RETENTION: Duration = Duration::from_secs(3_600);
 /// Time after which a group that has not opened is closed; includes the load of the weights.
 const FORMATION_TIMEOUT: Duration = Duration::from_secs(60);
@@ -54,6 +57,10 @@
     stalled_since: Option<Duration>,
     /// Since when gateways have reported that the head stalls or refuses connections.
     suspected_since: Option<Duration>,
+    /// Orders to open that the head was sent.
+    openings: Openings,
+    /// Whether the head was ordered to close, after which it can be opened again.
+    is_close_ordered: bool,
     /// When the head was first ordered to open.
     open_ordered_at: Option<Duration>,
     /// Whether the group's dissolution was asked for.
@@ -107,6 +114,12 @@
             is_head_refusing: false,
             stalled_since: None,
             suspected_since: None,
+            openings: if is_restored && !group.opened {
+                Openings::inherited()
+            } else {
+                Openings::default()
+            },
+            is_close_ordered: false,
             open_ordered_at: None,
             is_dissolving: false,
             leaving_since: None,
@@ -316,15 +329,13 @@
     /// Whether the head certainly accepts no more requests.
     ///
     /// It was never ordered to open, another process has provably taken its place, it has reported after `since` that it is broken or
-    /// has left, or cannot be reached and [`Timing::head_stop_time`] has passed since another member left.
+    /// has left, or it cannot be reached and its stop time is over.
     fn is_head_stopped(&self, group: &Group, view: &View, since: Duration) -> bool {
         if !self.may_have_opened {
             return true;
         }
         let head = group.head();
-        let is_stop_time_over = self
-            .incomplete_since
-            .is_some_and(|at| view.now > at + view.timing.head_stop_time());
+        let is_stop_time_over = self.is_stop_time_over(group, view);
         let Some(vm) = view.registry.get(&head.id) else {
             return is_stop_time_over;
         };
@@ -339,10 +350,24 @@
         is_silent && is_stop_time_over
     }
 
-    /// Whether no member has been known for [`ABANDONED_GROUP_RETENTION`].
+    /// Whether a head that was open, or has opened meanwhile, has stopped by itself: [`Timing::head_stop_time`] has
+    /// passed since another member left.
+    ///
+    /// A head that may still open stands still only from then on, whenever that is.
+    fn is_stop_time_over(&self, group: &Group, view: &View) -> bool {
+        let is_openable = !self.opened || self.is_close_ordered;
+        if is_openable && self.openings.is_any_unsettled() {
+            return false;
+        }
+        let answered_at = self.openings.answered_at();
+        let opened_by = answered_at.map_or(Duration::ZERO, |at| at + view.open_time(group));
+        self.incomplete_since
+            .is_some_and(|at| view.now > at.max(opened_by) + view.timing.head_stop_time())
+    }
+
+    /// Whether the head has not been known for [`ABANDONED_GROUP_RETENTION`], longer than any order is late.
     fn is_abandoned(&self, group: &Group, view: &View, since: Duration) -> bool {
-        let mut members = group.members.iter();
-        view.now > since + ABANDONED_GROUP_RETENTION && members.all(|m| view.registry.get(&m.id).is_none())
+        view.now > since + ABANDONED_GROUP_RETENTION && view.registry.get(&group.head().id).is_none()
     }
 
     /// Sends an order to a member, unless the last order to it is too recent or its process has ended.
@@ -351,6 +376,11 @@
             return;
         }
         self.last_sent.insert(member.id.clone(), view.now);
+        match task {
+            Task::Open => self.openings.record_sent(),
+            Task::Close => self.is_close_ordered = true,
+            _ => {}
+        }
         out.push(Effect::Order(Order {
             vm: member.id.clone(),
             incarnation: member.incarnation,
@@ -367,6 +397,11 @@
         last_sent.is_some_and(|at| view.now < *at + ORDER_RETRY_INTERVAL)
     }
 
+    /// Records how an order to open ended.
+    pub(super) fn record_open_reply(&mut self, now: Duration, reply: Reply) {
+        self.openings.record_reply(now, reply);
+    }
+
     /// Allows the next order to a VM immediately, because its heartbeat has shown a change.
     pub(super) fn allow_order_now(&mut self, vm: &str) {
         self.last_sent.remove(vm);
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -35,6 +35,7 @@
 mod leave;
 mod lifecycle;
 pub mod log_membership;
+mod opening;
 mod order;
 mod pacing;
 mod permits;
--- a/src/domain/fleet/proof.rs
+++ b/src/domain/fleet/proof.rs
@@ -91,7 +91,8 @@
             *reached = contact.begun.max(*reached);
         }
         let is_current = vm.announcement.incarnation == contact.incarnation;
-        if !is_current || contact.begun <= vm.last_heartbeat || contact.reply == Reply::Unclear {
+        let shows_nothing = matches!(contact.reply, Reply::Unclear | Reply::Unsent);
+        if !is_current || contact.begun <= vm.last_heartbeat || shows_nothing {
             return;
         }
         let known = self.evidence.remove(&contact.vm);
@@ -114,7 +115,7 @@
                 evidence.refused = evidence.refused.filter(|(first, _)| contact.begun < *first)
             }
             Reply::Answered => evidence.forget_before(contact.begun),
-            Reply::Unclear => {}
+            Reply::Unclear | Reply::Unsent => {}
         }
         if contact.reply == Reply::Accepted && evidence.misdirected.is_none() {
             evidence.proven = evidence.proven.filter(|at| contact.begun < *at);
--- a/src/domain/fleet/replication.rs
+++ b/src/domain/fleet/replication.rs
@@ -93,6 +93,7 @@
         let leads = self.node.role() == Role::Leader;
         if leads && self.leading_since.is_none() {
             self.leading_since = Some(now);
+            self.inherited_index = self.node.journal().last_index();
             self.registry = Registry::default();
             self.lifecycles.clear();
             self.staging.clear();
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -10,6 +10,7 @@
 use super::Vm;
 use super::order::is_name_of;
 use super::proof::Proofs;
+use crate::domain::catalog::Definition;
 
 /// Why a group is closed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -56,6 +57,7 @@
     pub(super) registry: &'a Registry,
     pub(super) proofs: &'a Proofs,
     pub(super) timing: &'a Timing,
+    pub(super) catalog: Option<&'a Definition>,
     /// Fencing token for orders.
     pub(super) fence: u64,
     /// What gateways report of the head.
@@ -134,6 +136,15 @@
         !self.reports.head_answers && self.now > vm.last_heartbeat.max(self.leading_since) + silence_limit
     }
 
+    /// Time from the order to open until the head of a group accepts requests.
+    pub(super) fn open_time(&self, group: &Group) -> Duration {
+        let services = self.catalog.iter().flat_map(|c| &c.services);
+        let mut engines = services
+            .filter(|s| s.name == group.service)
+            .filter_map(|s| s.engine.as_ref());
+        Duration::from_millis(engines.next().map_or(0, |engine| engine.open_ms))
+    }
+
     /// Whether it is proved that another process has taken the place of a member's process.
     pub(super) fn is_replaced(&self, member: &Member) -> bool {
         self.proofs
--- a/src/fleet/orders.rs
+++ b/src/fleet/orders.rs
@@ -48,12 +48,14 @@
 }
 
 impl Queue {
-    /// Adds an order; a later order to the same VM replaces one that waits.
-    fn push(&mut self, order: Order) {
+    /// Adds an order; a later order to the same VM replaces one that waits, which is returned.
+    fn push(&mut self, order: Order) -> Option<Order> {
         let vm = order.vm.clone();
-        if self.waiting.insert(vm.clone(), order).is_none() {
+        let replaced = self.waiting.insert(vm.clone(), order);
+        if replaced.is_none() {
             self.turns.push_back(vm);
         }
+        replaced
     }
 
     /// Next order to send, if one may be sent now.
@@ -68,13 +70,12 @@
         Some(order)
     }
 
-    /// Drops an order that waits for the process that `order` was for, because that process is not there.
-    fn discard_for(&mut self, order: &Order) {
+    /// Takes out an order that waits for the process that `order` was for, because that process is not there.
+    fn discard_for(&mut self, order: &Order) -> Option<Order> {
         let waiting = self.waiting.get(&order.vm);
-        if waiting.is_some_and(|w| w.incarnation == order.incarnation) {
-            self.waiting.remove(&order.vm);
-            self.turns.retain(|vm| *vm != order.vm);
-        }
+        waiting.filter(|w| w.incarnation == order.incarnation)?;
+        self.turns.retain(|vm| *vm != order.vm);
+        self.waiting.remove(&order.vm)
     }
 }
 
@@ -86,12 +87,11 @@
 
 impl From<Failure> for Undelivered {
     fn from(failure: Failure) -> Self {
-        let is_refused = failure == Failure::Unsent(Cause::Refused);
         Undelivered {
-            reply: if is_refused {
-                Reply::Refused
-            } else {
-                Reply::Unclear
+            reply: match failure {
+                Failure::Unsent(Cause::Refused) => Reply::Refused,
+                Failure::Unsent(_) => Reply::Unsent,
+                Failure::Unknown | Failure::Invalid => Reply::Unclear,
             },
             reason: format!("{failure:?}"),
         }
@@ -121,9 +121,10 @@
     /// Sends an order, as soon as there is room, and logs the outcome.
     pub(super) fn send(&self, order: Order) {
         let mut queue = self.queue.lock().expect("no panic under this lock");
-        queue.push(order);
+        let replaced = queue.push(order);
         let next = queue.pop();
         drop(queue);
+        self.tell_unsent(replaced);
         if let Some(order) = next {
             self.runtime.spawn(self.clone().run(order));
         }
@@ -136,10 +137,11 @@
             let reply = self.deliver(&order).await;
             let mut queue = self.queue.lock().expect("no panic under this lock");
             queue.under_way.remove(&order.vm);
-            if matches!(reply, Reply::Refused | Reply::Misdirected) {
-                queue.discard_for(&order);
-            }
+            let is_absent = matches!(reply, Reply::Refused | Reply::Misdirected);
+            let discarded = is_absent.then(|| queue.discard_for(&order)).flatten();
             next = queue.pop();
+            drop(queue);
+            self.tell_unsent(discarded);
         }
     }
 
@@ -176,15 +178,30 @@
             incarnation: order.incarnation,
             begun: started,
             reply,
+            order: Some(order.clone()),
         }));
         reply
     }
+
+    /// Tells the core of an order that will not be sent.
+    fn tell_unsent(&self, order: Option<Order>) {
+        let Some(order) = order else {
+            return;
+        };
+        self.mailbox.tell(Event::Contact(Contact {
+            vm: order.vm.clone(),
+            incarnation: order.incarnation,
+            begun: clock::now(),
+            reply: Reply::Unsent,
+            order: Some(order),
+        }));
+    }
 }
 
 /// Posts an order and returns the HTTP status.
 async fn post(client: &http1::Client, vm_order: &Order) -> Result<StatusCode, Undelivered> {
     let unsendable = |reason: String| Undelivered {
-        reply: Reply::Unclear,
+        reply: Reply::Unsent,
         reason,
     };
     let address = vm_order.address.parse();
--- a/src/fleet/probes.rs
+++ b/src/fleet/probes.rs
@@ -59,6 +59,7 @@
                 incarnation: probe.incarnation,
                 begun,
                 reply,
+                order: None,
             }));
         });
     }
--- a/tests/formation/network.rs
+++ b/tests/formation/network.rs
@@ -70,7 +70,7 @@
         self.probes = later;
         for (_, probe) in due {
             let reply = self.connect(&probe.vm);
-            self.report_contact(probe.vm, probe.incarnation, reply);
+            self.report_contact(probe.vm, probe.incarnation, reply, None);
         }
     }
 
@@ -84,10 +84,10 @@
             Reply::Accepted => Reply::Misdirected,
             other => other,
         };
-        self.report_contact(order.vm.clone(), order.incarnation, reply);
+        self.report_contact(order.vm.clone(), order.incarnation, reply, Some(order.clone()));
     }
 
-    fn report_contact(&mut self, vm: String, incarnation: u64, reply: Reply) {
+    fn report_contact(&mut self, vm: String, incarnation: u64, reply: Reply, order: Option<Order>) {
         if !self.has_contacts {
             return;
         }
@@ -96,6 +96,7 @@
             incarnation,
             begun: Duration::from_millis(self.now - STEP_MS),
             reply,
+            order,
         }));
     }
 
--- a/tests/paused/mod.rs
+++ b/tests/paused/mod.rs
@@ -75,6 +75,11 @@
     pub vms: Vec<Vm>,
     /// Orders that are not carried out yet.
     pub orders: Vec<Order>,
+    /// Time after which an order to open is carried out; it gets no answer then.
+    pub open_delay: Option<u64>,
+    /// Orders to open that are carried out later, with that time.
+    late_orders: Vec<(u64, Order)>,
+    first_late: Option<u64>,
     /// Probes and orders whose result the controller does not know yet.
     pub contacts: Vec<Contact>,
     /// Time at which the answers in progress are complete.
@@ -150,8 +155,8 @@
 }
 
 impl System {
-    /// System whose group is open, with answers in progress from now on.
-    pub fn with_open_group() -> Self {
+    /// System without a group.
+    pub fn start() -> Self {
         let vm = |number: u64| Vm {
             id: format!("vm{number}"),
             sequence: 0,
@@ -169,6 +174,9 @@
             hard_state: HardState::default(),
             vms: vec![vm(0), vm(1)],
             orders: Vec::new(),
+            open_delay: None,
+            late_orders: Vec::new(),
+            first_late: None,
             contacts: Vec::new(),
             answers_end: 0,
             last_event_at: 0,
@@ -179,7 +187,13 @@
             dissolved_at: None,
         };
         system.advance_to(2_000);
-        system.call(Call::Adopt(Box::new(Document::new("{}", &catalog()))));
+        system
+    }
+
+    /// System whose group is open, with answers in progress from now on.
+    pub fn with_open_group() -> Self {
+        let mut system = System::start();
+        system.adopt_catalog();
         while !system.vms.iter().any(Vm::serves) {
             assert!(system.now < 30_000, "no group has opened");
             system.advance();
@@ -189,12 +203,27 @@
         system
     }
 
+    /// Submits the catalog, so that the VMs form a group.
+    pub fn adopt_catalog(&mut self) {
+        self.call(Call::Adopt(Box::new(Document::new("{}", &catalog()))));
+    }
+
     pub fn head(&self) -> usize {
         let rank = |vm: &Vm| vm.membership.as_ref().map(|m| m.rank);
         let head = self.vms.iter().position(|vm| rank(vm) == Some(0));
         head.expect("a head")
     }
 
+    /// Epoch of the first group that was ordered to open late.
+    pub fn first_epoch(&self) -> Option<u64> {
+        self.first_late
+    }
+
+    /// Whether an order to open is on its way.
+    pub fn is_open_ordered(&self) -> bool {
+        !self.late_orders.is_empty()
+    }
+
     /// Pauses a VM for `length`, beginning `phase` after its last heartbeat (both in milliseconds).
     pub fn pause(&mut self, vm: usize, phase: u64, length: u64) {
         let last = self.vms[vm].last_heartbeat_at;
@@ -238,15 +267,27 @@
                     }
                     let vm = self.vms.iter().find(|vm| vm.id == order.vm);
                     let reply = vm.and_then(|vm| vm.reply);
+                    let delay = self.open_delay.filter(|_| order.task == Task::Open);
                     match reply {
-                        Some(reply) => self.contacts.push(contact(self.now, &order.vm, reply)),
+                        _ if delay.is_some() => {
+                            let vm = order.vm.clone();
+                            self.first_late.get_or_insert(order.epoch);
+                            self.late_orders
+                                .extend(delay.map(|d| (self.now + d, order.clone())));
+                            self.contacts
+                                .push(contact(self.now, &vm, Reply::Unclear, Some(order)));
+                        }
+                        Some(reply) => {
+                            let vm = order.vm.clone();
+                            self.contacts.push(contact(self.now, &vm, reply, Some(order)));
+                        }
                         None => self.orders.push(order),
                     }
                 }
                 Action::Probe(probe) => {
                     let vm = self.vms.iter().find(|vm| vm.id == probe.vm);
                     let reply = vm.and_then(|vm| vm.reply).unwrap_or(Reply::Accepted);
-                    self.contacts.push(contact(self.now, &probe.vm, reply));
+                    self.contacts.push(contact(self.now, &probe.vm, reply, None));
                 }
                 Action::Telemetry(Telemetry::Lost(..)) => self.lost_at = Some(self.now),
                 _ => {}
@@ -263,6 +304,16 @@
         self.orders = waiting;
         for order in ready {
             self.carry_out(&order);
+            let vm = order.vm.clone();
+            self.contacts
+                .push(contact(now, &vm, Reply::Answered, Some(order)));
+        }
+        let (due, late): (Vec<_>, Vec<_>) = std::mem::take(&mut self.late_orders)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.late_orders = late;
+        for (_, order) in due {
+            self.carry_out(&order);
         }
         for contact in std::mem::take(&mut self.contacts) {
             self.step(Event::Contact(contact));
@@ -387,11 +438,12 @@
     }
 }
 
-fn contact(now: u64, vm: &str, reply: Reply) -> Contact {
+fn contact(now: u64, vm: &str, reply: Reply, order: Option<Order>) -> Contact {
     Contact {
         vm: vm.to_owned(),
         incarnation: 1,
         begun: Duration::from_millis(now),
         reply,
+        order,
     }
 }
