gateway: all parts of a prompt are read, and count in crashes

Cause: the gateway ignored all parts behind the 32nd, and those with a long identifier. Behind it the leader kept 64 parts of a crash and asked about 32, and a gateway remembered 4,096 sound ones; each dropped the rest without a trace.

Change: all parts of a head are read, from its text instead of a copy; evidence is bounded by its marks in all, the oldest crashes leave whole; suspects are asked about in turns, and none is a culprit before it had its turn.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -6,6 +6,8 @@
 #[path = "../tests/common/commands.rs"]
 mod commands;
 
+use std::borrow::Cow;
+use std::collections::HashSet;
 use std::hint::black_box;
 use std::time::Duration;
 use std::time::Instant;
@@ -34,6 +36,10 @@
 use heatherramp::domain::placement;
 use heatherramp::domain::placement::Context;
 use heatherramp::domain::placement::Orders;
+use heatherramp::domain::quarantine::Attribution;
+use heatherramp::domain::quarantine::Crash;
+use heatherramp::domain::quarantine::Evidence;
+use heatherramp::domain::quarantine::Observations;
 use heatherramp::domain::session::Table;
 use heatherramp::domain::state;
 use heatherramp::domain::state::Change;
@@ -41,6 +47,7 @@
 use heatherramp::domain::state::Entry;
 use heatherramp::domain::state::Stage;
 use heatherramp::domain::state::State;
+use heatherramp::platform::header;
 use prost::Message as _;
 use serde_json::json;
 
@@ -533,7 +540,51 @@
     println!("report of a VM, body [B] {report}");
 }
 
+/// Reading, checking and learning from prompts of many parts, and deciding on crashes with them.
+fn prompt_parts() {
+    let mut points = [Vec::new(), Vec::new(), Vec::new()];
+    for parts in [10, 40, 160, 640, 1_280] {
+        let prompt: String = (0..parts).map(|i| format!("{i:08x}:40,")).collect();
+        let ids: Vec<String> = header::prompt_parts(&prompt).map(Cow::into_owned).collect();
+        let size = ids.len() as f64;
+        let held: HashSet<String> = HashSet::from(["bad".to_owned()]);
+        let is_held = || header::prompt_parts(&prompt).any(|id| held.contains(id.as_ref()));
+        points[0].push((size, mean_us(1_000, || assert!(!black_box(is_held())))));
+        let mut observations = Observations::default();
+        let mut record = || observations.record_sound(NOW, header::prompt_parts(&prompt));
+        points[1].push((size, mean_us(1_000, &mut record)));
+        let mut attribution = Attribution::default();
+        for crash in 0..40u64 {
+            let crash = Crash {
+                target: format!("t{crash}"),
+                incarnation: 1,
+                parts: ids.clone(),
+                age_ms: crash,
+                sent_age_ms: None,
+            };
+            let crashes = vec![crash];
+            attribution.record(
+                NOW,
+                &Evidence {
+                    crashes,
+                    ..Evidence::default()
+                },
+            );
+        }
+        let marks = attribution.marks() as f64;
+        let mut decide = || {
+            black_box(attribution.culprits(NOW));
+            black_box(attribution.suspects(NOW));
+        };
+        points[2].push((marks, mean_us(10, &mut decide)));
+    }
+    print_row("check of a prompt, n parts", "us", &points[0]);
+    print_row("sound run of a prompt, n parts", "us", &points[1]);
+    print_row("decision on crashes, n marks", "us", &points[2]);
+}
+
 fn main() {
+    prompt_parts();
     dispatch_decisions();
     state_and_changes();
     placement_plans();
--- a/src/domain/fleet/quarantine.rs
+++ b/src/domain/fleet/quarantine.rs
@@ -20,6 +20,9 @@
 const BUSY_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between two decisions without new evidence.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest interval between two decisions for each mark in the evidence, so that a leader with much of it keeps
+/// most of its processor.
+const INTERVAL_PER_MARK: Duration = Duration::from_micros(3);
 /// Time after the latest new evidence in which decisions stay frequent: one may wait until gateways have
 /// been asked.
 const SETTLING_TIME: Duration = Duration::from_millis(600);
@@ -65,12 +68,12 @@
     fn decide(&mut self, now: Duration, held: &BTreeMap<String, u64>) -> Vec<Command> {
         let is_settling = self.changed_at.is_some_and(|at| now < at + SETTLING_TIME);
         let interval = if is_settling { BUSY_INTERVAL } else { IDLE_INTERVAL };
+        let interval = interval.max(INTERVAL_PER_MARK * self.attribution.marks() as u32);
         if now < self.decided_at + interval || (held.is_empty() && self.attribution.is_empty()) {
             return Vec::new();
         }
         self.decided_at = now;
         self.attribution.expire(now);
-        self.suspects = self.attribution.suspects(now);
         self.pending.retain(|_, at| now < *at + PROPOSAL_TIMEOUT);
         self.update_held(now, held);
         let culprits = self.attribution.culprits(now);
@@ -97,6 +100,8 @@
                 self.pending.insert(part.clone(), now);
             }
         }
+        // Suspects that were asked about in turn are decided on before the next ones have theirs.
+        self.suspects = self.attribution.suspects(now);
         commands
     }
 
--- a/src/domain/quarantine/attribution.rs
+++ b/src/domain/quarantine/attribution.rs
@@ -29,12 +29,14 @@
 const EXPIRY_MS: i64 = 5 * 60 * 1_000;
 /// Incidents that are kept; the latest.
 const MAX_INCIDENTS: usize = 512;
-/// Parts that are kept of one incident, and likewise fingerprints.
-const MAX_INCIDENT_PARTS: usize = 64;
+/// Marks of all incidents, in about 8 MB; the oldest incidents are dropped beyond.
+const MAX_INCIDENT_MARKS: usize = 65_536;
 /// Parts whose sound runs are kept; the latest.
 const MAX_SOUND_PARTS: usize = 4_096;
-/// Parts that gateways are asked about.
-const MAX_SUSPECTS: usize = 32;
+/// Parts in several incidents that gateways are asked about at a time.
+const MAX_SUSPECTS: usize = 128;
+/// Parts that gateways are asked about although they are in one incident only.
+const MAX_EARLY_SUSPECTS: usize = 32;
 
 /// End of one process while requests were in progress there.
 #[derive(Clone, Debug)]
@@ -48,14 +50,6 @@
     parts: BTreeMap<String, Presence>,
 }
 
-impl Incident {
-    /// Number of fingerprints if `mark` is one, else of parts.
-    fn count_like(&self, mark: &str) -> usize {
-        let is_alike = |known: &&String| is_fingerprint(known) == is_fingerprint(mark);
-        self.parts.keys().filter(is_alike).count()
-    }
-}
-
 /// Presence of a mark in one incident.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Presence {
@@ -96,6 +90,10 @@
     incidents: BTreeMap<(String, u64), Incident>,
     /// Time of the latest sound run by part.
     sound: BTreeMap<String, i64>,
+    /// Parts that gateways are asked about, and since when.
+    asked: HashMap<String, Duration>,
+    /// Whether there are more suspects than gateways are asked about at a time.
+    is_asking_in_turns: bool,
 }
 
 impl Attribution {
@@ -130,7 +128,7 @@
                     // Each report gives a slightly different time of the same send.
                     is_new |= merged.place > known.place;
                     *known = merged;
-                } else if incident.count_like(part) < MAX_INCIDENT_PARTS {
+                } else {
                     incident.parts.insert(part.clone(), presence);
                     is_new = true;
                 }
@@ -180,7 +178,7 @@
             heard_at.sort_unstable();
             // Until the gateways have been asked, the part is no culprit, nor is another one in its place.
             // After its first incident it may not have been among those asked about.
-            if now >= heard_at[1] + QUERY_TIME {
+            if now >= heard_at[1] + QUERY_TIME && self.is_answered(now, best.part) {
                 culprits.push(best.part.to_owned());
             }
             for (position, _) in positions {
@@ -189,20 +187,34 @@
         }
     }
 
+    /// Whether gateways have been asked about a part for long enough, where they cannot be asked about all.
+    fn is_answered(&self, now: Duration, part: &str) -> bool {
+        let asked_at = self.asked.get(part);
+        !self.is_asking_in_turns || asked_at.is_some_and(|at| now >= *at + QUERY_TIME)
+    }
+
     /// Parts to ask gateways about: those in crashes that no later sound run clears, those in most
     /// crashes first, then those in the latest.
-    pub fn suspects(&self, _now: Duration) -> Vec<String> {
+    ///
+    /// Parts beyond [`MAX_SUSPECTS`] have their turn once the others have been asked about.
+    pub fn suspects(&mut self, now: Duration) -> Vec<String> {
         let mut incidents: Vec<&Incident> = self.incidents.values().collect();
         incidents.sort_by_key(|i| i.at);
         let rank = |(part, positions): (_, Vec<(usize, Presence)>)| {
             let latest = positions.iter().map(|(p, _)| incidents[*p].at).max();
             let count = outages(occurrences(&incidents, &positions));
-            (Reverse(count), Reverse(latest), part)
+            let has_had_turn = self.asked.get(part).is_some_and(|at| now >= *at + QUERY_TIME);
+            (Reverse(count), has_had_turn, Reverse(latest), part)
         };
         let mut ranks: Vec<_> = self.counted(&incidents).into_iter().map(rank).collect();
         ranks.sort_unstable();
-        ranks.truncate(MAX_SUSPECTS);
-        ranks.into_iter().map(|(_, _, part)| part.to_owned()).collect()
+        let repeated = ranks.iter().filter(|(Reverse(count), ..)| *count > 1).count();
+        ranks.truncate(repeated.clamp(MAX_EARLY_SUSPECTS, MAX_SUSPECTS));
+        let suspects: Vec<String> = ranks.into_iter().map(|(.., part)| part.to_owned()).collect();
+        let since = |part: &String| self.asked.get(part).copied().unwrap_or(now);
+        self.asked = suspects.iter().map(|part| (part.clone(), since(part))).collect();
+        self.is_asking_in_turns = repeated > MAX_SUSPECTS;
+        suspects
     }
 
     /// Forgets what is too old to count.
@@ -212,6 +224,11 @@
         self.sound.retain(|_, at| *at >= limit);
     }
 
+    /// Number of marks in all incidents.
+    pub fn marks(&self) -> usize {
+        self.incidents.values().map(|i| i.parts.len()).sum()
+    }
+
     /// Whether there is nothing to decide on.
     pub fn is_empty(&self) -> bool {
         self.incidents.is_empty()
@@ -286,12 +303,16 @@
     }
 
     fn limit(&mut self) {
-        while self.incidents.len() > MAX_INCIDENTS {
+        let mut marks: usize = self.incidents.values().map(|i| i.parts.len()).sum();
+        while self.incidents.len() > MAX_INCIDENTS
+            || (marks > MAX_INCIDENT_MARKS && self.incidents.len() > MIN_INCIDENTS)
+        {
             let oldest = self.incidents.iter().min_by_key(|(_, i)| i.at);
             let Some(key) = oldest.map(|(key, _)| key.clone()) else {
                 return;
             };
-            self.incidents.remove(&key);
+            let removed = self.incidents.remove(&key);
+            marks -= removed.map_or(0, |i| i.parts.len());
         }
         if self.sound.len() > MAX_SOUND_PARTS {
             let mut times: Vec<i64> = self.sound.values().copied().collect();
--- a/src/domain/quarantine/observations.rs
+++ b/src/domain/quarantine/observations.rs
@@ -10,8 +10,12 @@
 
 /// Crashes that a gateway keeps, and as many undecided losses.
 const MAX_CRASHES: usize = 64;
-/// Marks in each of the two generations of sound runs; both together hold 4,096.
-const MAX_GENERATION_MARKS: usize = 2_048;
+/// Marks of all casualties. A single head may hold thousands.
+const MAX_CASUALTY_MARKS: usize = 16_384;
+/// Parts in each of the two generations of sound runs; both together hold 65,536 in about 6 MB.
+const MAX_GENERATION_PARTS: usize = 32_768;
+/// Fingerprints in each of the two generations of sound runs.
+const MAX_GENERATION_FINGERPRINTS: usize = 2_048;
 /// Interval at which crashes are reported again while no further one is seen.
 const RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -56,7 +60,11 @@
         if casualty.parts.is_empty() || self.list.iter().any(is_known) {
             return;
         }
-        if self.list.len() >= MAX_CRASHES {
+        let marks = |list: &[Casualty]| list.iter().map(|c| c.parts.len()).sum::<usize>();
+        let is_full = |list: &[Casualty]| {
+            list.len() >= MAX_CRASHES || marks(list) + casualty.parts.len() > MAX_CASUALTY_MARKS
+        };
+        while !self.list.is_empty() && is_full(&self.list) {
             self.list.remove(self.least_useful());
         }
         self.has_new = true;
@@ -102,8 +110,10 @@
 }
 
 /// Latest sound run of each mark, in two generations.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct SoundRuns {
+    /// Marks in a full generation.
+    capacity: usize,
     /// Once full, it replaces `earlier`, which drops the marks that have not run for longest without a search
     /// for them.
     latest: HashMap<String, Duration>,
@@ -111,12 +121,20 @@
 }
 
 impl SoundRuns {
+    fn new(capacity: usize) -> Self {
+        SoundRuns {
+            capacity,
+            latest: HashMap::new(),
+            earlier: HashMap::new(),
+        }
+    }
+
     fn record(&mut self, now: Duration, mark: &str) {
         if let Some(at) = self.latest.get_mut(mark) {
             *at = now;
             return;
         }
-        if self.latest.len() >= MAX_GENERATION_MARKS {
+        if self.latest.len() >= self.capacity {
             self.earlier = std::mem::take(&mut self.latest);
         }
         self.latest.insert(mark.to_owned(), now);
@@ -128,7 +146,7 @@
 }
 
 /// Crashes and sound runs that one gateway has seen.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Observations {
     crashes: Casualties,
     /// Lost connections for which no gateway can tell whether the process has ended.
@@ -138,6 +156,17 @@
     sound_fingerprints: SoundRuns,
 }
 
+impl Default for Observations {
+    fn default() -> Self {
+        Observations {
+            crashes: Casualties::default(),
+            undecided: Casualties::default(),
+            sound_parts: SoundRuns::new(MAX_GENERATION_PARTS),
+            sound_fingerprints: SoundRuns::new(MAX_GENERATION_FINGERPRINTS),
+        }
+    }
+}
+
 impl Observations {
     /// Records a request, sent at `sent_at`, that was in progress at a target when its process ended, unless the
     /// request has shown by then that it is sound.
@@ -167,8 +196,9 @@
     }
 
     /// Records that an answer to a prompt with these parts has got past its first events.
-    pub fn record_sound(&mut self, now: Duration, parts: &[String]) {
+    pub fn record_sound(&mut self, now: Duration, parts: impl IntoIterator<Item = impl AsRef<str>>) {
         for part in parts {
+            let part = part.as_ref();
             match is_fingerprint(part) {
                 true => self.sound_fingerprints.record(now, part),
                 false => self.sound_parts.record(now, part),
--- a/src/domain/quarantine/report.rs
+++ b/src/domain/quarantine/report.rs
@@ -9,8 +9,9 @@
 
 /// Time for which a crash is reported, so that a lost report or a change of leader does not lose it.
 pub(super) const REPORTED_TIME: Duration = Duration::from_secs(5);
-/// Crashes in the merged evidence of several gateways; the youngest are kept.
+/// Crashes in the merged evidence of several gateways, and their marks; the youngest are kept.
 const MAX_MERGED_CRASHES: usize = 512;
+const MAX_MERGED_MARKS: usize = 65_536;
 
 /// Marks of one request that was in progress at a target when its process ended, or may have ended, and that had
 /// not shown by then that it is sound: the parts of its prompt and its fingerprint.
@@ -98,11 +99,16 @@
         }
     }
 
-    /// The youngest crashes, at most [`MAX_MERGED_CRASHES`].
+    /// The youngest crashes, within [`MAX_MERGED_CRASHES`] and [`MAX_MERGED_MARKS`].
     fn youngest(self) -> Vec<Crash> {
         let mut crashes: Vec<_> = self.ages.into_iter().map(|(key, ages)| (ages, key)).collect();
         crashes.sort_unstable();
         crashes.truncate(MAX_MERGED_CRASHES);
+        let mut marks = 0;
+        crashes.retain(|(_, (_, _, parts))| {
+            marks += parts.len();
+            marks <= MAX_MERGED_MARKS
+        });
         let crashes = crashes
             .into_iter()
             .map(|((age_ms, sent_age_ms), (target, incarnation, parts))| Crash {
--- a/src/domain/quarantine/undecided.rs
+++ b/src/domain/quarantine/undecided.rs
@@ -12,8 +12,9 @@
 
 /// Time for which a loss waits for a decision: a process that ended starts again within some seconds.
 const RETENTION: Duration = Duration::from_secs(20);
-/// Losses that are kept; the latest.
+/// Losses that are kept, and their marks; the latest.
 const MAX_LOSSES: usize = 512;
+const MAX_MARKS: usize = 65_536;
 
 /// What has become of the process of a target whose connection was lost.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -61,7 +62,7 @@
                 is_decided: false,
             });
         }
-        while self.losses.len() > MAX_LOSSES {
+        while self.losses.len() > MAX_LOSSES || self.marks() > MAX_MARKS {
             let oldest = self.losses.iter().min_by_key(|(_, loss)| loss.at);
             let Some(key) = oldest.map(|(key, _)| key.clone()) else {
                 return;
@@ -70,6 +71,10 @@
         }
     }
 
+    fn marks(&self) -> usize {
+        self.losses.keys().map(|(_, _, marks)| marks.len()).sum()
+    }
+
     /// Whether no loss is known.
     pub fn is_empty(&self) -> bool {
         self.losses.is_empty()
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -15,6 +15,7 @@
 use super::context::Context;
 use super::dispatch;
 use super::intake;
+use super::marks::Marks;
 use super::request::Request;
 use super::request::bearer_token;
 use super::request::upstream_headers;
@@ -143,18 +144,15 @@
         header_text(&head.headers, platform_header::ANSWER_LENGTH_HINT).and_then(|v| v.trim().parse().ok());
     let tokens =
         stated_tokens.map(|(prompt, max_answer)| (prompt, answer_hint.unwrap_or(max_answer).min(max_answer)));
-    let parts = header_text(&head.headers, platform_header::PROMPT_PARTS)
-        .map(platform_header::parse_prompt_parts)
-        .unwrap_or_default();
-    let service_entry = catalog.service(&service).filter(|_| route.session_affinity);
-    let reuse = service_entry.and_then(|service| {
-        let prompt = header_text(&head.headers, platform_header::PROMPT_PARTS)?;
-        Reuse::new(context, service, model.as_deref()?, prompt, tokens)
-    });
     let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let marks = Marks::new(
+        platform_header::prompt(&head.headers).unwrap_or_default(),
+        fingerprint(path.as_str(), account.as_deref(), &body),
+    );
+    let service_entry = catalog.service(&service).filter(|_| route.session_affinity);
+    let reuse =
+        service_entry.and_then(|service| Reuse::new(context, service, model.as_deref()?, &marks, tokens));
     let priority = context.settings.engine_priority.then_some(rank);
-    let mut marks = parts.clone();
-    marks.push(fingerprint(path.as_str(), account.as_deref(), &body));
     Ok(Request {
         id: id.to_owned(),
         marks,
@@ -162,7 +160,6 @@
         rank,
         model,
         tokens,
-        parts,
         reuse,
         service,
         method: head.method,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,5 +1,6 @@
 //! State that all requests of a gateway share.
 
+use std::borrow::Cow;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 
 use super::evidence::Checks;
 use super::intake::Budgets;
+use super::marks::Marks;
 use super::metrics::Metrics;
 use crate::adapters::clock;
 use crate::adapters::fleet::Client;
@@ -268,9 +270,13 @@
     }
 
     /// First of `marks` that is in quarantine.
-    pub(super) fn quarantined_mark(&self, marks: &[String]) -> Option<String> {
+    pub(super) fn quarantined_mark(&self, marks: &Marks) -> Option<String> {
         let quarantine = self.quarantine.read().expect("no panic under this lock");
-        marks.iter().find(|p| quarantine.parts.contains(*p)).cloned()
+        if quarantine.parts.is_empty() {
+            return None;
+        }
+        let found = marks.iter().find(|mark| quarantine.parts.contains(mark.as_ref()));
+        found.map(Cow::into_owned)
     }
 
     /// Replaces the parts that the leader asks about, and those in quarantine.
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -165,7 +165,7 @@
     /// Logs a failed send and ends it.
     fn end_failed(&self, send: Send, outcome: Outcome, reason: &str) {
         let outcome_text = format!("{outcome:?}");
-        let parts = self.request.parts.join(",");
+        let parts = self.request.marks.parts_text();
         let mut fields = vec![
             ("request", self.request.id.as_str().into()),
             ("target", send.target.id.as_str().into()),
@@ -173,7 +173,7 @@
             ("reason", reason.into()),
             ("sends", (self.sends as u64).into()),
             ("after_ms", elapsed_ms(self.request).into()),
-            ("fingerprint", self.request.fingerprint().into()),
+            ("fingerprint", self.request.marks.fingerprint().into()),
         ];
         if !parts.is_empty() {
             fields.push(("parts", parts.as_str().into()));
--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -3,6 +3,7 @@
 //!
 //! A mark in quarantine is one of which the leader has seen enough crashes; requests with it are refused.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -95,7 +96,9 @@
 }
 
 fn record_sound(context: &Context, request: &Request) {
-    context.observations().record_sound(clock::now(), &request.marks);
+    context
+        .observations()
+        .record_sound(clock::now(), request.marks.iter());
 }
 
 /// Checks whether the process of a target whose connection was lost has ended, and records the crash.
@@ -108,7 +111,7 @@
     let lost = Lost {
         at: clock::now(),
         sent_at: send.started,
-        marks: request.marks.clone(),
+        marks: request.marks.iter().map(Cow::into_owned).collect(),
     };
     let mut checks = send.context.checks();
     let is_full = checks.len() >= MAX_CHECKS;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod heartbeat;
 mod intake;
 mod late;
+mod marks;
 mod metrics;
 mod permit;
 mod request;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -11,6 +11,7 @@
 use http::header;
 use http::uri::PathAndQuery;
 
+use super::marks::Marks;
 use super::reuse::Reuse;
 use crate::domain::catalog::Catalog;
 use crate::domain::catalog::Repeat;
@@ -55,10 +56,8 @@
     pub(super) model: Option<String>,
     /// Prompt and expected answer lengths, in tokens, if the caller stated them.
     pub(super) tokens: Option<(u64, u64)>,
-    /// Identifiers of the prompt's parts in order, without the last one, which belongs to this request alone.
-    pub(super) parts: Vec<String>,
-    /// What the request may be quarantined for: the parts, and the fingerprint that all its attempts share.
-    pub(super) marks: Vec<String>,
+    /// What the request may be quarantined for.
+    pub(super) marks: Marks,
     /// Expected reuse of the prompt; none where that does not count.
     pub(super) reuse: Option<Reuse>,
     pub(super) method: Method,
@@ -73,11 +72,6 @@
 }
 
 impl Request {
-    /// Fingerprint that all attempts of the same request share.
-    pub(super) fn fingerprint(&self) -> &str {
-        self.marks.last().map_or("", String::as_str)
-    }
-
     /// Expected reuse of the prompt, if that counts.
     pub(super) fn plan(&self) -> Option<&Plan> {
         self.reuse.as_ref().map(Reuse::plan)
--- a/src/gateway/reuse.rs
+++ b/src/gateway/reuse.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 
 use super::context::Context;
+use super::marks::Marks;
 use super::request::Request;
 use super::send::Send;
 use crate::adapters::clock;
@@ -15,7 +16,6 @@
 use crate::domain::reuse::Plan;
 use crate::domain::reuse::Prefix;
 use crate::domain::reuse::Reason;
-use crate::platform::header as platform_header;
 
 /// Prompt of a request on a route with session affinity.
 pub(super) struct Reuse {
@@ -28,14 +28,14 @@
 }
 
 impl Reuse {
-    /// Expected reuse of the prompt whose parts the caller stated as `prompt`.
+    /// Expected reuse of the prompt of a request with these marks.
     ///
     /// None if the setting is off, the service runs no such model, or a part is in quarantine.
     pub(super) fn new(
         context: &Context,
         service: &Service,
         model: &str,
-        prompt: &str,
+        marks: &Marks,
         tokens: Option<(u64, u64)>,
     ) -> Option<Self> {
         if !context.settings.prompt_reuse {
@@ -43,9 +43,8 @@
         }
         let catalog_engine = service.engine.as_ref()?;
         let figures = Figures::new(catalog_engine, catalog_engine.model(model)?);
-        let parts = platform_header::parse_prompt(prompt);
-        let ids: Vec<String> = parts.iter().map(|part| part.id.clone()).collect();
-        if ids.is_empty() || context.quarantined_mark(&ids).is_some() {
+        let parts = marks.prompt();
+        if parts.is_empty() || context.quarantined_mark(marks).is_some() {
             return None;
         }
         let prefix = Prefix::new(&service.name, model, &parts);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -348,7 +348,7 @@
             End::Deadline => (logging::REQUEST_ENDED, "deadline", ""),
             End::Broken(cause) => (logging::SEND_FAILED, "broken", cause),
         };
-        let parts = self.request.parts.join(",");
+        let parts = self.request.marks.parts_text();
         let mut fields = vec![
             ("request", self.request.id.as_str().into()),
             ("route", self.request.route.name.as_str().into()),
@@ -363,7 +363,7 @@
             ("after_ms", elapsed_ms(&self.request).into()),
         ];
         if end == "broken" {
-            fields.push(("fingerprint", self.request.fingerprint().into()));
+            fields.push(("fingerprint", self.request.marks.fingerprint().into()));
             if !parts.is_empty() {
                 fields.push(("parts", parts.as_str().into()));
             }
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -1,7 +1,11 @@
 //! Header names on requests and answers.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
+use http::HeaderMap;
+use xxhash_rust::xxh3::xxh3_128;
+
 use crate::domain::limit::Rate;
 use crate::domain::reuse::Part;
 
@@ -44,26 +48,26 @@
 /// Least urgent value of [`PRIORITY`].
 pub const MAX_PRIORITY: u8 = 9;
 
-/// Prompt parts of a request that are read; further ones are ignored.
-const MAX_PROMPT_PARTS: usize = 32;
-/// Longest identifier of a prompt part, in bytes; a part with a longer one is ignored.
+/// Longest identifier of a prompt part that is kept as it stands, in bytes; a longer one is known by its hash.
 const MAX_PROMPT_PART_BYTES: usize = 64;
 
-/// Parses the value of [`PROMPT_PARTS`] into the identifiers, in lower case, without that of the last part.
+/// Value of [`PROMPT_PARTS`]; that of a header given several times is one list.
+pub fn prompt(headers: &HeaderMap) -> Option<String> {
+    let mut values = headers
+        .get_all(PROMPT_PARTS)
+        .iter()
+        .map(|v| String::from_utf8_lossy(v.as_bytes()));
+    let first = values.next()?.into_owned();
+    Some(values.fold(first, |all, value| all + "," + &value))
+}
+
+/// Identifiers in the value of [`PROMPT_PARTS`], in lower case, without that of the last part.
 ///
-/// Entries whose identifier is not hexadecimal are ignored.
-pub fn parse_prompt_parts(value: &str) -> Vec<String> {
-    let Some((shared, _)) = value.trim_end_matches([',', ' ']).rsplit_once(',') else {
-        return Vec::new();
-    };
-    shared
-        .split(',')
-        .take(MAX_PROMPT_PARTS)
-        .map(|entry| entry.split(':').next().unwrap_or_default().trim())
-        .filter(|id| (1..=MAX_PROMPT_PART_BYTES).contains(&id.len()))
-        .filter(|id| id.bytes().all(|b| b.is_ascii_hexdigit()))
-        .map(str::to_ascii_lowercase)
-        .collect()
+/// Empty entries, and those whose identifier is not hexadecimal, name no part.
+pub fn prompt_parts(value: &str) -> impl Iterator<Item = Cow<'_, str>> {
+    let shared = value.trim_end_matches([',', ' ']).rsplit_once(',');
+    let entries = shared.into_iter().flat_map(|(shared, _)| shared.split(','));
+    entries.filter_map(|entry| part_id(entry.split(':').next()?))
 }
 
 /// Parses the value of [`PROMPT_PARTS`] into all parts with their numbers of tokens, up to the first entry that is
@@ -71,20 +75,29 @@
 pub fn parse_prompt(value: &str) -> Vec<Part> {
     let parse_part = |entry: &str| {
         let (id, tokens) = entry.split_once(':')?;
-        let id = id.trim();
-        let is_valid =
-            (1..=MAX_PROMPT_PART_BYTES).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_hexdigit());
-        let tokens = tokens.trim().parse().ok().filter(|_| is_valid)?;
         Some(Part {
-            id: id.to_ascii_lowercase(),
-            tokens,
+            id: part_id(id)?.into_owned(),
+            tokens: tokens.trim().parse().ok()?,
         })
     };
-    value
-        .split(',')
-        .take(MAX_PROMPT_PARTS)
-        .map_while(parse_part)
-        .collect()
+    let entries = value.split(',').filter(|entry| !entry.trim().is_empty());
+    entries.map_while(parse_part).collect()
+}
+
+/// Identifier of a prompt part, equal for all spellings; none for what is not hexadecimal.
+fn part_id(text: &str) -> Option<Cow<'_, str>> {
+    let id = text.trim();
+    if id.is_empty() || !id.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    let id = match id.bytes().any(|b| b.is_ascii_uppercase()) {
+        true => Cow::Owned(id.to_ascii_lowercase()),
+        false => Cow::Borrowed(id),
+    };
+    match id.len() > MAX_PROMPT_PART_BYTES {
+        true => Some(Cow::Owned(format!("{:032x}", xxh3_128(id.as_bytes())))),
+        false => Some(id),
+    }
 }
 
 /// Parses the value of [`TOKEN_USAGE`] into prompt tokens and maximum answer tokens.
