platform: names in paths are decoded

Cause: the name was taken from the path as it stood, so the log held a zone in which nobody is.

Change: zones and identifiers are decoded once, and all spellings of a name are the same; what cannot be decoded gets 400 with the reason. An evacuation of a zone in which no VM has said to be is logged as a warning.

--- a/src/domain/fleet/core.rs
+++ b/src/domain/fleet/core.rs
@@ -18,6 +18,7 @@
 use super::digests::Poll;
 use super::event::Action;
 use super::event::Event;
+use super::event::Telemetry;
 use super::event::Ticket;
 use super::lifecycle::Lifecycle;
 use super::log_membership;
@@ -261,6 +262,9 @@
                     out.push(Action::Answer(ticket, Answer::Done));
                     return;
                 }
+                if is_out && self.is_unnamed_zone(now, &zone) {
+                    out.push(Action::Telemetry(Telemetry::UnnamedZone(zone.clone())));
+                }
                 let command = Command::SetZone { zone, out: is_out };
                 self.propose(now, Some(ticket), command, out);
             }
@@ -287,6 +291,12 @@
         }
     }
 
+    /// Whether this leader knows the VMs, and none of them is in `zone`.
+    fn is_unnamed_zone(&self, now: Duration, zone: &str) -> bool {
+        let is_in_zone = |vm: &super::Vm| vm.announcement.zone == zone;
+        self.is_discovery_complete(now) && !self.registry.iter().any(is_in_zone)
+    }
+
     /// Catalog that this controller has applied, if it is newer than `above`.
     ///
     /// A follower may lag behind. The leader's routing table names the version in force, and a
--- a/src/domain/fleet/event.rs
+++ b/src/domain/fleet/event.rs
@@ -51,6 +51,8 @@
     Phase(Phase, Duration),
     /// The leader has applied a committed command.
     Committed(Command),
+    /// A zone is taken out of service in which no VM has said to be.
+    UnnamedZone(String),
     /// A prompt part is in quarantine.
     Quarantined {
         /// Prompt part.
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -137,6 +137,9 @@
                     ("command", truncated.as_str().into()),
                 ]);
             }
+            Telemetry::UnnamedZone(zone) => {
+                logging::ZONE_UNNAMED.log_fields(&[("term", term.into()), ("zone", zone.as_str().into())]);
+            }
             Telemetry::Quarantined { part, targets } => {
                 let names = targets.join(" ");
                 let truncated: String = names.chars().take(400).collect();
--- a/src/fleet/web.rs
+++ b/src/fleet/web.rs
@@ -123,27 +123,28 @@
             },
             path::Call::Read => Call::Read,
             path::Call::ZoneOut(zone) => Call::SetZone {
-                zone: zone.to_owned(),
+                zone: zone.into_owned(),
                 out: true,
             },
             path::Call::ZoneIn(zone) => Call::SetZone {
-                zone: zone.to_owned(),
+                zone: zone.into_owned(),
                 out: false,
             },
-            path::Call::Heartbeat(id) => match platform::heartbeat::decode(id, &body) {
+            path::Call::Heartbeat(id) => match platform::heartbeat::decode(&id, &body) {
                 Ok(announcement) => return self.announce(announcement).await,
                 Err(reason) => {
                     logging::HEARTBEAT_REFUSED
-                        .log_fields(&[("vm", id.into()), ("reason", reason.as_str().into())]);
+                        .log_fields(&[("vm", id.as_ref().into()), ("reason", reason.as_str().into())]);
                     return reply(StatusCode::BAD_REQUEST, reason);
                 }
             },
             path::Call::Leave(id) => {
-                if heartbeat::leave(&self.relay, &self.leader, id.to_owned()).await {
+                if heartbeat::leave(&self.relay, &self.leader, id.into_owned()).await {
                     return reply(StatusCode::OK, "{}");
                 }
                 return reply(StatusCode::SERVICE_UNAVAILABLE, "no leader in reach");
             }
+            path::Call::Invalid(reason) => return reply(StatusCode::BAD_REQUEST, reason),
             path::Call::Unknown => return reply(StatusCode::NOT_FOUND, "no such call"),
         };
         match self.leader.ask(call).await {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -23,7 +23,7 @@
 pub(super) async fn handle(context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
     match path::parse(request.method(), request.uri().path()) {
         path::Call::Heartbeat(id) => {
-            let id = id.to_owned();
+            let id = id.into_owned();
             let hold = context.budgets.status.open(Kind::Body, None);
             let max_pause = context.intake.body_pause();
             let mut body = request.into_body();
@@ -38,9 +38,10 @@
             return response;
         }
         path::Call::Leave(id) => {
-            let (status, text) = heartbeat::handle_leave(&context, id).await;
+            let (status, text) = heartbeat::handle_leave(&context, &id).await;
             return answer(status, text);
         }
+        path::Call::Invalid(reason) => return answer(StatusCode::BAD_REQUEST, reason.to_owned()),
         _ => {}
     }
     let (status, text) = match request.uri().path() {
--- a/src/logging/catalogue.rs
+++ b/src/logging/catalogue.rs
@@ -369,6 +369,13 @@
     name: "part_released",
     module: "fleet",
 };
+/// An operator takes a zone out of service in which no VM has said to be; the name may be misspelt.
+pub const ZONE_UNNAMED: Event = Event {
+    code: 515,
+    level: Level::Warn,
+    name: "zone_unnamed",
+    module: "fleet",
+};
 /// Connections of gateways are refused, for the first time or again after a while; logs the limit.
 pub const INTAKE_LIMITED: Event = Event {
     code: 514,
@@ -432,4 +439,5 @@
     PART_QUARANTINED,
     PART_RELEASED,
     INTAKE_LIMITED,
+    ZONE_UNNAMED,
 ];
