--- a/src/domain/fleet/quarantine.rs
+++ b/src/domain/fleet/quarantine.rs
@@ -22,7 +22,7 @@
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest interval between two decisions for each mark in the evidence, so that a leader with much of it keeps
 /// most of its processor.
-const INTERVAL_PER_MARK: Duration = Duration::from_micros(3);
+const INTERVAL_PER_MARK: Duration = Duration::from_micros(15);
 /// Time after the latest new evidence in which decisions stay frequent: one may wait until gateways have
 /// been asked.
 const SETTLING_TIME: Duration = Duration::from_millis(600);
--- a/src/domain/quarantine/attribution.rs
+++ b/src/domain/quarantine/attribution.rs
@@ -29,8 +29,8 @@
 const EXPIRY_MS: i64 = 5 * 60 * 1_000;
 /// Incidents that are kept; the latest.
 const MAX_INCIDENTS: usize = 512;
-/// Marks of all incidents, in about 8 MB; the oldest incidents are dropped beyond.
-const MAX_INCIDENT_MARKS: usize = 65_536;
+/// Marks of all incidents, in about 4 MB; the oldest incidents are dropped beyond.
+const MAX_INCIDENT_MARKS: usize = 32_768;
 /// Parts whose sound runs are kept; the latest.
 const MAX_SOUND_PARTS: usize = 4_096;
 /// Parts in several incidents that gateways are asked about at a time.
