disk: a data folder opens while its disk is full

Report of other operators: disks full one after another, and changes refused or unanswered long after.

What was found: a controller that ended while it appended did not start again while its disk was full, as the torn record was cut off first. Opening writes nothing now; the next append cuts.

Before: a_folder_with_a_torn_record_opens_while_its_disk_is_full failed.

--- a/src/adapters/disk/folder.rs
+++ b/src/adapters/disk/folder.rs
@@ -180,11 +180,12 @@
         self.files.sync(&path).change_context(Error::Write)
     }
 
-    /// Reads the records of `log` after the snapshot, and truncates a torn last one.
+    /// Reads the records of `log` after the snapshot.
     ///
-    /// The file does not exist before the first record or snapshot is saved. Records that the snapshot replaced
-    /// stay in the file until the next save: a crash between the replacement of `snapshot` and that of `log`
-    /// leaves them, and a full disk must not keep the folder from opening.
+    /// The file does not exist before the first record or snapshot is saved. A torn last record, and records that the
+    /// snapshot replaced, stay in the file until the next save: a crash while a record is appended, or between the
+    /// replacement of `snapshot` and that of `log`, leaves them, and a full disk must not keep the folder from
+    /// opening.
     fn load_records(&mut self, snapshot: &Snapshot) -> Result<Vec<Record>, Report<Error>> {
         let path = self.path.join("log");
         let bytes = self
@@ -195,18 +196,16 @@
         let mut rest = bytes.as_slice();
         let mut stored: Vec<Record> = Vec::new();
         let mut ends = BTreeMap::new();
-        let mut end = 0;
         loop {
             match frame::decode(rest) {
                 Decoded::End => break,
                 Decoded::Torn => {
                     reject_damage_before_tail(rest)?;
-                    self.cut_log(end)?;
                     break;
                 }
                 Decoded::Valid(item, after) => {
                     rest = after;
-                    end = (bytes.len() - rest.len()) as u64;
+                    let end = (bytes.len() - rest.len()) as u64;
                     let record: Record = from_json(item)?;
                     ends.insert(record.index, end);
                     stored.push(record);
@@ -219,7 +218,7 @@
             return Err(Report::new(Error::Damaged).attach("the log has a gap"));
         }
         self.record_ends = records.iter().map(|r| (r.index, ends[&r.index])).collect();
-        self.is_dirty = self.record_ends.last().map_or(0, |(_, end)| *end) != end;
+        self.is_dirty = self.record_ends.last().map_or(0, |(_, end)| *end) != bytes.len() as u64;
         Ok(records)
     }
 
--- a/tests/cuts.rs
+++ b/tests/cuts.rs
@@ -14,6 +14,9 @@
 use voting::Simulation;
 use voting::run_count_and_first_seed;
 
+/// Runs unless the environment says otherwise.
+const RUNS: u64 = 40;
+
 /// Time in which a majority elects a leader and accepts changes again.
 const RECOVERY_MS: u64 = 12_000;
 
@@ -34,7 +37,7 @@
 /// Guards against a change that is acknowledged although another leader's record took its place in the log.
 #[test]
 fn acknowledged_changes_survive_short_cuts_of_the_leader() {
-    let (runs, first_seed) = run_count_and_first_seed();
+    let (runs, first_seed) = run_count_and_first_seed(RUNS);
     for seed in first_seed..first_seed + runs {
         let mut simulation = Simulation::new(seed);
         simulation.step_ms = 5;
--- a/tests/disk.rs
+++ b/tests/disk.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -30,8 +31,8 @@
     operations: usize,
     /// Number of operations that succeed; all later ones fail.
     crash_at: usize,
-    /// The only operation that fails, if there is one.
-    refused: Option<usize>,
+    /// Operations that fail, as the disk is full; a part of what they write is taken.
+    refused: Range<usize>,
     /// Bytes of an unsynced tail that survive the crash, at most.
     torn_bytes: usize,
 }
@@ -45,9 +46,12 @@
     fn run_operation(&self, change: impl FnOnce(&mut DiskState)) -> io::Result<()> {
         let mut state = self.0.lock().unwrap();
         state.operations += 1;
-        if state.operations > state.crash_at || state.refused == Some(state.operations) {
+        if state.operations > state.crash_at {
             return Err(io::Error::other("crash"));
         }
+        if state.refused.contains(&state.operations) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
         change(&mut state);
         Ok(())
     }
@@ -74,6 +78,28 @@
         Disk::with_files(self.0.lock().unwrap().visible.clone())
     }
 
+    /// Refuses `count` operations, after the next `after` ones.
+    fn fill_after(&self, after: usize, count: usize) {
+        let mut state = self.0.lock().unwrap();
+        let first = state.operations + after + 1;
+        state.refused = first..first.saturating_add(count);
+    }
+
+    /// Takes half of what is written while the disk is full.
+    fn write_part(&self, path: &Path, bytes: &[u8], is_append: bool) {
+        let mut state = self.0.lock().unwrap();
+        if state.refused.contains(&state.operations) {
+            let content = state.visible.entry(path.to_owned()).or_default();
+            if !is_append {
+                content.clear();
+            }
+            content.extend_from_slice(&bytes[..bytes.len() / 2]);
+            if !is_append {
+                state.synced.remove(path);
+            }
+        }
+    }
+
     /// Lets only the next `count` operations succeed.
     fn fail_after(&self, count: usize) {
         let mut state = self.0.lock().unwrap();
@@ -98,20 +124,28 @@
     }
 
     fn append(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()> {
-        self.run_operation(|state| {
+        let appended = self.run_operation(|state| {
             state
                 .visible
                 .entry(path.to_owned())
                 .or_default()
                 .extend_from_slice(bytes)
-        })
+        });
+        if appended.is_err() {
+            self.write_part(path, bytes, true);
+        }
+        appended
     }
 
     fn write(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()> {
-        self.run_operation(|state| {
+        let written = self.run_operation(|state| {
             state.visible.insert(path.to_owned(), bytes.to_vec());
             state.synced.remove(path);
-        })
+        });
+        if written.is_err() {
+            self.write_part(path, bytes, false);
+        }
+        written
     }
 
     fn truncate(&mut self, path: &Path, length: u64) -> io::Result<()> {
@@ -405,7 +439,7 @@
         Folder::create(disk.clone(), data_folder(), "c1", &["c1".to_owned()]).unwrap();
         let mut voter = Voter::open(&disk);
         let operations = disk.0.lock().unwrap().operations;
-        disk.0.lock().unwrap().refused = Some(operations + refused);
+        disk.fill_after(refused - 1, 1);
         let records: Vec<Record> = (1..=4).map(|i| record(i, 1)).collect();
         let retry = |save: &mut dyn FnMut() -> bool| assert!((0..3).any(|_| save()), "operation {refused}");
         retry(&mut || voter.folder.save_records(&records).is_ok());
@@ -426,6 +460,62 @@
     }
 }
 
+/// Writes records and a snapshot, each again and again until it succeeds, as the daemon does.
+fn write_with_retries(voter: &mut Voter) {
+    let retry = |save: &mut dyn FnMut() -> bool| assert!((0..100).any(|_| save()), "refused without end");
+    let records: Vec<Record> = (1..=4).map(|i| record(i, 1)).collect();
+    retry(&mut || voter.folder.save_records(&records).is_ok());
+    retry(&mut || voter.folder.save_records(&[record(3, 2)]).is_ok());
+    retry(&mut || {
+        voter
+            .folder
+            .save_snapshot(&snapshot(2, 1), &[record(3, 2)])
+            .is_ok()
+    });
+    retry(&mut || voter.folder.save_records(&[record(4, 2)]).is_ok());
+}
+
+/// Guards against voters that go on with a damaged log, or never go on, after their disk was full for a while.
+#[test]
+fn a_folder_goes_on_after_its_disk_was_full_at_any_time_for_any_time() {
+    for (after, count) in (0..16).flat_map(|after| (1..12).map(move |count| (after, count))) {
+        let disk = Disk::with_files(BTreeMap::new());
+        Folder::create(disk.clone(), data_folder(), "c1", &["c1".to_owned()]).unwrap();
+        let mut voter = Voter::open(&disk);
+        disk.fill_after(after, count);
+        write_with_retries(&mut voter);
+        for disk in [disk.after_crash(), disk.after_kill()] {
+            let restarted = Voter::open(&disk);
+            assert_eq!(restarted.journal.snapshot().index, 2, "{after} {count}");
+            assert_eq!(restarted.journal.range(0, 9), [record(3, 2), record(4, 2)]);
+        }
+    }
+}
+
+/// Guards against voters that stay down: a record that is torn, as its process ended while the disk was full, was cut
+/// off before anything else.
+#[test]
+fn a_folder_with_a_torn_record_opens_while_its_disk_is_full() {
+    let disk = Disk::with_files(BTreeMap::new());
+    Folder::create(disk.clone(), data_folder(), "c1", &["c1".to_owned()]).unwrap();
+    let mut voter = Voter::open(&disk);
+    voter.folder.save_records(&[record(1, 1), record(2, 1)]).unwrap();
+    disk.fill_after(0, usize::MAX);
+    assert!(voter.folder.save_records(&[record(3, 1)]).is_err());
+    let disk = disk.after_kill();
+    disk.fill_after(0, usize::MAX);
+    let mut restarted = Voter::open(&disk);
+    assert_eq!(restarted.journal.range(0, 9), [record(1, 1), record(2, 1)]);
+    assert!(restarted.folder.save_records(&[record(3, 2)]).is_err());
+    disk.fill_after(0, 0);
+    restarted.folder.save_records(&[record(3, 2)]).unwrap();
+    let restarted = Voter::open(&disk.after_crash());
+    assert_eq!(
+        restarted.journal.range(0, 9),
+        [record(1, 1), record(2, 1), record(3, 2)]
+    );
+}
+
 /// Guards against voters that stay down: earlier versions appended behind records that the snapshot had replaced.
 #[test]
 fn a_folder_whose_replaced_records_were_never_removed_opens() {
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -15,6 +15,9 @@
 use voting::Simulation;
 use voting::run_count_and_first_seed;
 
+/// Runs unless the environment says otherwise.
+const RUNS: u64 = 40;
+
 /// Time from the loss of the disks until changes have to be accepted again.
 const RECOVERY_MS: u64 = 12_000;
 
@@ -96,7 +99,7 @@
 /// Guards against a log that has no quorum when two disks are lost right after a planned replacement.
 #[test]
 fn two_disks_may_be_lost_right_after_a_controller_has_shut_down_for_its_successor() {
-    let (runs, first_seed) = run_count_and_first_seed();
+    let (runs, first_seed) = run_count_and_first_seed(RUNS);
     for seed in first_seed..first_seed + runs {
         run(seed, true, 1, 20..1_000);
     }
@@ -105,7 +108,7 @@
 /// As above, with two controllers that shut down at the same time.
 #[test]
 fn two_disks_may_be_lost_right_after_two_controllers_have_shut_down() {
-    let (runs, first_seed) = run_count_and_first_seed();
+    let (runs, first_seed) = run_count_and_first_seed(RUNS);
     for seed in first_seed..first_seed + runs {
         run(seed, true, 2, 20..1_000);
     }
@@ -115,7 +118,7 @@
 /// of silence: the first election may fail.
 #[test]
 fn two_disks_may_be_lost_soon_after_a_controller_was_killed_beside_its_successor() {
-    let (runs, first_seed) = run_count_and_first_seed();
+    let (runs, first_seed) = run_count_and_first_seed(RUNS);
     for seed in first_seed..first_seed + runs {
         run(seed, false, 1, 2_500..3_500);
     }
@@ -124,7 +127,7 @@
 /// A controller that is started again with its disk has no successor, and needs none.
 #[test]
 fn a_controller_that_is_started_again_keeps_its_vote() {
-    let (runs, first_seed) = run_count_and_first_seed();
+    let (runs, first_seed) = run_count_and_first_seed(RUNS);
     for seed in first_seed..first_seed + runs {
         let mut simulation = Simulation::new(seed);
         advance_by(&mut simulation, 6_000);
--- a/tests/voters.rs
+++ b/tests/voters.rs
@@ -15,6 +15,9 @@
 use voting::Simulation;
 use voting::run_count_and_first_seed;
 
+/// Runs unless the environment says otherwise.
+const RUNS: u64 = 40;
+
 /// Runs one seed up to and beyond a final fault, which `prepare` may precede with another one.
 fn run_with_final_fault(seed: u64, prepare: impl Fn(&mut Simulation)) {
     let mut simulation = Simulation::new(seed);
@@ -54,7 +57,7 @@
 
 #[test]
 fn acknowledged_changes_survive_disk_losses_and_changes_are_accepted_again() {
-    let (runs, first_seed) = run_count_and_first_seed();
+    let (runs, first_seed) = run_count_and_first_seed(RUNS);
     for seed in first_seed..first_seed + runs {
         run_with_final_fault(seed, |_| {});
     }
@@ -63,7 +66,7 @@
 /// The node that catches up loses its power with the others, although it counts as lost already.
 #[test]
 fn acknowledged_changes_survive_a_loss_of_power_while_a_wiped_node_catches_up() {
-    let (runs, first_seed) = run_count_and_first_seed();
+    let (runs, first_seed) = run_count_and_first_seed(RUNS);
     for seed in first_seed..first_seed + runs {
         run_with_final_fault(seed, |simulation| {
             let index = simulation.rng.random_range(0..NODE_COUNT);
--- a/tests/voting/faults.rs
+++ b/tests/voting/faults.rs
@@ -21,6 +21,15 @@
         self.nodes[index].cut_until = self.now + length_ms;
     }
 
+    /// Makes the disk of a node refuse every write.
+    pub fn fill_disk(&mut self, index: usize, length_ms: u64) {
+        self.trace.push(format!(
+            "{} disk of node {index} full for {length_ms} ms",
+            self.now
+        ));
+        self.nodes[index].full_until = self.now + length_ms;
+    }
+
     /// Starts a further node, at a new address and with an empty disk.
     pub fn add_node(&mut self) {
         let index = self.nodes.len();
@@ -87,6 +96,8 @@
         ));
         let node = &mut self.nodes[index];
         node.core = None;
+        node.unsaved.clear();
+        node.mailbox.clear();
         node.starts_at = self.now + off_ms;
         node.lost_until = self.now + off_ms + CATCH_UP_MS;
         if is_wiped {
--- a/tests/voting/mod.rs
+++ b/tests/voting/mod.rs
@@ -5,6 +5,7 @@
 mod faults;
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use heatherramp::domain::catalog::Definition;
@@ -48,6 +49,12 @@
     pub starts_at: u64,
     /// Time until which it counts as lost: it is off, or has not had time to catch up.
     pub lost_until: u64,
+    /// Time until which its disk refuses every write.
+    pub full_until: u64,
+    /// Actions that are not executed yet, as the first of them is a write that the disk refuses.
+    pub unsaved: VecDeque<Action>,
+    /// Events that wait until those are executed.
+    pub mailbox: VecDeque<Event>,
     /// Time until which it exchanges no messages with other controllers; operators still reach it.
     pub cut_until: u64,
     /// Whether it has received the order to shut down, until it has ended.
@@ -83,6 +90,8 @@
 pub enum PendingCall {
     /// Version that is submitted.
     Adopt(u64),
+    /// Version that is submitted, and passed on if the node redirects.
+    Forward(u64),
     /// Highest version acknowledged before the read; a lower one in the answer is a stale read.
     Read(u64),
     /// Node that asks to join.
@@ -105,6 +114,21 @@
     }
 }
 
+fn document(version: u64) -> Document {
+    Document::new(&version.to_string(), &catalog(version))
+}
+
+fn is_write(action: &Action) -> bool {
+    matches!(
+        action,
+        Action::Consensus(
+            consensus::Action::SaveHardState(_)
+                | consensus::Action::SaveRecords(_)
+                | consensus::Action::SaveSnapshot(_)
+        )
+    )
+}
+
 impl Node {
     pub fn new(index: usize) -> Self {
         Node {
@@ -113,6 +137,9 @@
             core: None,
             starts_at: 0,
             lost_until: 0,
+            full_until: 0,
+            unsaved: VecDeque::new(),
+            mailbox: VecDeque::new(),
             cut_until: 0,
             is_stopping: false,
             checks_without_leader: 0,
@@ -128,11 +155,15 @@
 
 impl Simulation {
     pub fn new(seed: u64) -> Self {
+        Simulation::with_nodes(seed, NODE_COUNT)
+    }
+
+    pub fn with_nodes(seed: u64, count: usize) -> Self {
         let mut simulation = Simulation {
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: 0,
             step_ms: 20,
-            nodes: (0..NODE_COUNT).map(Node::new).collect(),
+            nodes: (0..count).map(Node::new).collect(),
             messages_in_flight: Vec::new(),
             max_delay_steps: 2,
             pending_calls: BTreeMap::new(),
@@ -142,7 +173,7 @@
             trace: Vec::new(),
             traced_members: String::new(),
         };
-        for index in 0..NODE_COUNT {
+        for index in 0..count {
             simulation.start(index, true);
         }
         simulation
@@ -187,14 +218,41 @@
         node.starts_at = self.now;
     }
 
+    /// Passes an event to a node; while its disk refuses a write, the event waits, as in the daemon.
     pub fn step(&mut self, index: usize, event: Event) {
-        let now = Duration::from_millis(self.now);
-        let Some(core) = self.nodes[index].core.as_mut() else {
+        let node = &mut self.nodes[index];
+        let is_blocked = !node.unsaved.is_empty();
+        if node.core.is_none() || (is_blocked && matches!(event, Event::Tick)) {
             return;
-        };
-        let from = core.node().id().to_owned();
-        for action in core.step(now, event) {
-            self.execute(index, &from, action);
+        }
+        node.mailbox.push_back(event);
+        if !is_blocked {
+            self.run_node(index);
+        }
+    }
+
+    /// Executes what a node has to, and processes its events, until its disk refuses a write.
+    pub fn run_node(&mut self, index: usize) {
+        let now = Duration::from_millis(self.now);
+        loop {
+            while let Some(action) = self.nodes[index].unsaved.pop_front() {
+                if self.nodes[index].full_until > self.now && is_write(&action) {
+                    self.nodes[index].unsaved.push_front(action);
+                    return;
+                }
+                let core = self.nodes[index].core.as_ref().expect("a node that runs");
+                let from = core.node().id().to_owned();
+                self.execute(index, &from, action);
+                if self.nodes[index].core.is_none() {
+                    return;
+                }
+            }
+            let node = &mut self.nodes[index];
+            let Some(event) = node.mailbox.pop_front() else {
+                return;
+            };
+            let core = node.core.as_mut().expect("a node that runs");
+            node.unsaved.extend(core.step(now, event));
         }
     }
 
@@ -230,6 +288,16 @@
         };
         match (pending, answer) {
             (PendingCall::Adopt(version), Answer::Done) => self.acknowledged = self.acknowledged.max(version),
+            (PendingCall::Forward(version), Answer::Done) => {
+                self.acknowledged = self.acknowledged.max(version)
+            }
+            (PendingCall::Forward(version), Answer::Redirect(Some(leader))) => {
+                let is_leader = |n: &Node| n.core.as_ref().is_some_and(|c| c.node().id() == leader);
+                if let Some(leader) = self.nodes.iter().position(is_leader) {
+                    let call = Call::Adopt(Box::new(document(version)));
+                    self.call(leader, PendingCall::Adopt(version), call);
+                }
+            }
             (PendingCall::Read(min_version), Answer::Text(text)) => {
                 let version: u64 = text.as_ref().map_or(0, |t| t.text().unwrap().parse().unwrap());
                 assert!(
@@ -267,6 +335,11 @@
             .into_iter()
             .partition(|m| m.0 <= self.now);
         self.messages_in_flight = later;
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].core.is_some() {
+                self.run_node(index);
+            }
+        }
         for (_, from, to, message) in due {
             let receiver = self
                 .nodes
@@ -322,7 +395,9 @@
         if !self.now.is_multiple_of(300) || self.nodes[index].is_stopping {
             return;
         }
-        let Some(core) = self.nodes[index].core.as_ref() else {
+        // The status of a node that cannot write is not brought up to date.
+        let node = &self.nodes[index];
+        let Some(core) = node.core.as_ref().filter(|_| node.unsaved.is_empty()) else {
             return;
         };
         let is_member = core.is_member();
@@ -353,12 +428,22 @@
         self.nodes[index].cut_until > self.now
     }
 
+    /// Submits a new version to one node, which passes it on to the leader if it names one.
+    pub fn submit_through(&mut self, index: usize) {
+        if self.nodes[index].core.is_none() {
+            return;
+        }
+        self.last_submitted += 1;
+        let version = self.last_submitted;
+        let call = Call::Adopt(Box::new(document(version)));
+        self.call(index, PendingCall::Forward(version), call);
+    }
+
     /// Submits a new version to one node.
     pub fn submit(&mut self, index: usize) {
         self.last_submitted += 1;
         let version = self.last_submitted;
-        let document = Document::new(&version.to_string(), &catalog(version));
-        let call = Call::Adopt(Box::new(document));
+        let call = Call::Adopt(Box::new(document(version)));
         self.call(index, PendingCall::Adopt(version), call);
     }
 
@@ -378,19 +463,21 @@
         self.last_submitted += 1;
         let version = self.last_submitted;
         for index in 0..self.nodes.len() {
-            let document = Document::new(&version.to_string(), &catalog(version));
-            let call = Call::Adopt(Box::new(document));
+            let call = Call::Adopt(Box::new(document(version)));
             self.call(index, PendingCall::Adopt(version), call);
         }
     }
 }
 
-pub fn run_count_and_first_seed() -> (u64, u64) {
+pub fn run_count_and_first_seed(default_runs: u64) -> (u64, u64) {
     let read = |name: &str, default: u64| {
         std::env::var(name)
             .ok()
             .and_then(|v| v.parse().ok())
             .unwrap_or(default)
     };
-    (read("HEATHERRAMP_RUNS", 40), read("HEATHERRAMP_SEED", 1))
+    (
+        read("HEATHERRAMP_RUNS", default_runs),
+        read("HEATHERRAMP_SEED", 1),
+    )
 }
