platform: an unknown service beside a traffic split is refused

The field was not read where a split stood beside it. It becomes a share without weight, so the validation sees it and no request goes there.

tests/catalog.rs failed before and passes.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -179,10 +179,12 @@
         other => return Err(format!("route {}: no type {other}", route.name)),
     };
     let shares = match (route.traffic_split, route.service) {
-        (Some(split), _) => split
-            .into_iter()
-            .map(|split| convert_split(&route.name, split))
-            .collect::<Result<_, _>>()?,
+        (Some(split), service) => {
+            // A service beside a split gets no requests, and must be known all the same.
+            let unused = service.map(|service| Ok(catalog::Share { service, weight: 0 }));
+            let split = split.into_iter().map(|split| convert_split(&route.name, split));
+            split.chain(unused).collect::<Result<_, _>>()?
+        }
         (None, Some(service)) => vec![catalog::Share { service, weight: 1 }],
         (None, None) => return Err(format!("route {}: no service", route.name)),
     };
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -137,6 +137,23 @@
     assert!(matches!(key, Error::SharedKey { .. }));
 }
 
+/// Guards against a configuration that names an unknown service and is acknowledged, as a valid split stands beside it.
+#[test]
+fn an_unknown_service_beside_a_split_is_rejected() {
+    let mut document = document();
+    document["routes"][0]["service"] = json!("missing");
+    let error = configuration::check(document.to_string().as_bytes()).unwrap_err();
+    assert!(error.contains("missing"), "{error}");
+    document["routes"][0]["service"] = json!("desk");
+    let definition = configuration::check(document.to_string().as_bytes()).unwrap();
+    let weights: Vec<u64> = definition.routes[0].shares.iter().map(|s| s.weight).collect();
+    assert_eq!(
+        weights,
+        [90_000, 10_000, 0],
+        "the service beside the split gets requests"
+    );
+}
+
 #[test]
 fn a_malformed_document_is_rejected_with_the_path_of_the_fault() {
     let text = document().to_string();
