fleet: replies to orders to open count by their term

A reply that came while the leader's lease had lapsed was dropped, and its order stayed unsettled; one of an earlier leadership of the same process would have settled an order of the present one. Replies are matched by the order's fencing token now, whatever the lease.

--- a/src/domain/fleet/groups.rs
+++ b/src/domain/fleet/groups.rs
@@ -30,17 +30,23 @@
 impl Core {
     /// Records how a probe or an order of this leader ended.
     pub(super) fn record_contact(&mut self, now: Duration, contact: &Contact) {
+        self.record_open_reply(now, contact);
         if !self.leads(now) {
             return;
         }
         self.proofs.record(contact, &self.registry);
-        let order = contact.order.as_ref();
-        if let Some(order) = order.filter(|order| order.task == Task::Open)
-            && let Some(lifecycle) = self.lifecycles.get_mut(&order.epoch)
-        {
+        self.reconcile_due |= matches!(contact.reply, Reply::Refused | Reply::Misdirected);
+    }
+
+    /// Tells a group how an order to open its head ended, if that is an order of this leadership.
+    fn record_open_reply(&mut self, now: Duration, contact: &Contact) {
+        let term = self.node.term();
+        let is_own = |order: &&Order| order.task == Task::Open && order.fence == term;
+        let order = contact.order.as_ref().filter(is_own);
+        let lifecycle = order.and_then(|order| self.lifecycles.get_mut(&order.epoch));
+        if let Some(lifecycle) = lifecycle {
             lifecycle.record_open_reply(now, contact.reply);
         }
-        self.reconcile_due |= matches!(contact.reply, Reply::Refused | Reply::Misdirected);
     }
 
     /// Decides which members have provably ended, and probes those that may have.
