--- a/src/adapters/http1/client.rs
+++ b/src/adapters/http1/client.rs
@@ -29,7 +29,6 @@
 use super::head;
 use super::head::Allowance;
 use super::head::Limited;
-use super::limits::MAX_FIELDS;
 use super::server::set_tcp_options;
 use crate::adapters::clock;
 
@@ -331,7 +330,6 @@
         allowance: allowance.clone(),
     };
     let handshake = http1::Builder::new()
-        .max_headers(MAX_FIELDS)
         .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(TokioIo::new(limited))
         .await;
--- a/src/adapters/http1/limits.rs
+++ b/src/adapters/http1/limits.rs
@@ -11,9 +11,6 @@
 /// Descriptors that are reserved for the process's own files and connections.
 const RESERVED_DESCRIPTORS: usize = 200;
 
-/// Header fields that a head may have, within the limit of its size. Each takes 64 bytes while a head is read.
-pub(super) const MAX_FIELDS: usize = 1_024;
-
 /// Limits of a server's connections.
 #[derive(Clone, Debug)]
 pub struct Limits {
--- a/src/adapters/http1/server.rs
+++ b/src/adapters/http1/server.rs
@@ -33,7 +33,6 @@
 use super::activity::Activity;
 use super::activity::Answer;
 use super::activity::Observed;
-use super::limits::MAX_FIELDS;
 use crate::adapters::memory::Hold;
 use crate::adapters::memory::Shortage;
 use crate::domain::memory::Kind;
@@ -274,7 +273,6 @@
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.idle_timeout)
-            .max_headers(MAX_FIELDS)
             .max_buf_size(self.limits.head_bytes.max(MIN_HEAD_BYTES));
         let socket = Observed {
             stream,
