http1: a chunk size without end is given up

What callers saw: an upstream in trouble sends zeros without end in place of the size of a chunk.

Cause: hyper refuses sizes that overflow, but leading zeros never do, and it skips any number of blanks after a size. They belong neither to a head nor to a part of a body, so no limit on bytes saw them.

Change: the bytes of a connection between two parts of a body are limited to four of its buffers. http1::Incoming grants them anew with each part, at clients and servers, so bodies from callers are limited as well.

--- a/src/adapters/http/intake.rs
+++ b/src/adapters/http/intake.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::adapters::http1;
+use crate::adapters::http1::Incoming;
 use crate::adapters::http1::Limits;
 use crate::adapters::memory::Memory;
 use crate::domain::memory::Kind;
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -8,7 +8,6 @@
 use futures_util::stream::BoxStream;
 use http::HeaderName;
 use http::HeaderValue;
-use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
 use super::Body;
@@ -17,6 +16,7 @@
 use super::Response;
 use super::intake::Incomplete;
 use crate::adapters::http1;
+use crate::adapters::http1::Incoming;
 use crate::adapters::http1::Part;
 use crate::adapters::http1::Peer;
 use crate::adapters::http1::UnreadBody;
--- a/src/adapters/http1/client.rs
+++ b/src/adapters/http1/client.rs
@@ -16,7 +16,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -26,9 +25,10 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use super::Incoming;
+use super::allowance::Allowance;
+use super::allowance::Limited;
 use super::head;
-use super::head::Allowance;
-use super::head::Limited;
 use super::server::set_tcp_options;
 use crate::adapters::clock;
 
@@ -271,11 +271,12 @@
                 Link::Tunnel(stream) => start(address, stream, false).await?,
             },
         };
-        connection.allowance.limit();
-        let answered = connection.sender.try_send_request(request).await;
-        connection.allowance.lift();
-        match answered {
-            Ok(response) if head::is_final(response.status()) => Ok((response, connection)),
+        connection.allowance.limit_head();
+        match connection.sender.try_send_request(request).await {
+            Ok(response) if head::is_final(response.status()) => {
+                let response = response.map(|body| Incoming::new(body, connection.allowance.clone()));
+                Ok((response, connection))
+            }
             Ok(_) => Err(Failure::Invalid),
             Err(mut error) => Err(match error.take_message() {
                 Some(_unsent) => Failure::Unsent(Cause::Closed),
@@ -324,7 +325,7 @@
 where
     T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
-    let allowance = Allowance::default();
+    let allowance = Allowance::new(MAX_BUFFER_BYTES);
     let limited = Limited {
         stream,
         allowance: allowance.clone(),
--- a/src/adapters/http1/collect.rs
+++ b/src/adapters/http1/collect.rs
@@ -8,17 +8,17 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
-use hyper::body::Body as _;
-use hyper::body::Incoming;
+use hyper::body::Body;
 use tokio::time::timeout;
 
+use super::Incoming;
 use crate::adapters::memory::Buffer;
 use crate::adapters::memory::Hold;
 
 /// Why a body was not collected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Incomplete {
-    /// The connection broke before the end of the body.
+    /// The connection broke before the end of the body, or the framing of the body is not valid.
     Truncated,
     /// The body is larger than allowed.
     TooLarge,
@@ -33,7 +33,10 @@
 /// # Errors
 ///
 /// [`Incomplete`] with the reason.
-pub async fn collect(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Incomplete> {
+pub async fn collect<B>(mut body: B, max_bytes: usize) -> Result<Bytes, Incomplete>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let chunk = frame.map_err(|_| Incomplete::Truncated)?.into_data();
--- a/src/adapters/http1/mod.rs
+++ b/src/adapters/http1/mod.rs
@@ -5,11 +5,13 @@
 //! the `http` module.
 
 mod activity;
+mod allowance;
 mod body;
 mod client;
 mod collect;
 mod framing;
 mod head;
+mod incoming;
 mod limits;
 mod server;
 
@@ -28,6 +30,7 @@
 pub use collect::collect_held;
 pub use framing::Framing;
 pub use head::is_final;
+pub use incoming::Incoming;
 pub use limits::Limits;
 pub use limits::max_connections;
 pub use server::Peer;
--- a/src/adapters/http1/server.rs
+++ b/src/adapters/http1/server.rs
@@ -15,7 +15,6 @@
 use http::Response;
 use http::Version;
 use http::header::CONNECTION;
-use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -29,10 +28,13 @@
 use tokio::time::timeout;
 
 use super::Body;
+use super::Incoming;
 use super::Limits;
 use super::activity::Activity;
 use super::activity::Answer;
 use super::activity::Observed;
+use super::allowance::Allowance;
+use super::allowance::Limited;
 use crate::adapters::memory::Hold;
 use crate::adapters::memory::Shortage;
 use crate::domain::memory::Kind;
@@ -247,7 +249,11 @@
         let (caller_is_http_1_0, leaves_body) = (is_http_1_0.clone(), has_unread_body.clone());
         let (closing, activity) = (self.server.closing.clone(), self.activity.clone());
         let peer = Peer(self.peer.ip());
-        let service = service_fn(move |mut request: Request<Incoming>| {
+        let buffer_bytes = self.limits.head_bytes.max(MIN_HEAD_BYTES);
+        let allowance = Allowance::new(buffer_bytes);
+        let body_allowance = allowance.clone();
+        let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+            let mut request = request.map(|body| Incoming::new(body, body_allowance.clone()));
             caller_is_http_1_0.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
             request.extensions_mut().insert(peer);
             let has_body = !hyper::body::Body::is_end_stream(request.body());
@@ -273,10 +279,13 @@
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.idle_timeout)
-            .max_buf_size(self.limits.head_bytes.max(MIN_HEAD_BYTES));
-        let socket = Observed {
-            stream,
-            activity: self.activity.clone(),
+            .max_buf_size(buffer_bytes);
+        let socket = Limited {
+            stream: Observed {
+                stream,
+                activity: self.activity.clone(),
+            },
+            allowance,
         };
         let mut connection = builder.serve_connection(TokioIo::new(socket), service);
         let ended = tokio::select! {
@@ -284,7 +293,7 @@
             () = self.activity.ended(self.limits) => None,
         };
         let was_busy = self.activity.is_busy();
-        let mut stream = connection.into_parts().io.into_inner().stream;
+        let mut stream = connection.into_parts().io.into_inner().stream.stream;
         // An error ends only this connection; usually the caller has disconnected.
         let must_reset = match ended {
             // Only a reset shows this caller that its answer was aborted.
--- a/src/adapters/upstream/client.rs
+++ b/src/adapters/upstream/client.rs
@@ -11,7 +11,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use tokio::net::lookup_host;
 use tokio::time::timeout;
 
@@ -21,6 +20,7 @@
 use crate::adapters::http1::Connection;
 use crate::adapters::http1::Dialer;
 use crate::adapters::http1::Failure;
+use crate::adapters::http1::Incoming;
 use crate::adapters::http1::Incomplete;
 use crate::adapters::memory::Hold;
 
--- a/src/fleet/intake.rs
+++ b/src/fleet/intake.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use crate::adapters::http1::Incoming;
 use crate::adapters::http1::Incomplete;
 use crate::adapters::http1::Limits;
 use crate::adapters::http1::collect_held;
--- a/src/fleet/web.rs
+++ b/src/fleet/web.rs
@@ -10,7 +10,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use tokio::runtime::Builder;
 use tokio::sync::oneshot;
 
@@ -23,6 +22,7 @@
 use super::text::Text;
 use crate::adapters::http1;
 use crate::adapters::http1::Body;
+use crate::adapters::http1::Incoming;
 use crate::adapters::http1::Limits;
 use crate::adapters::http1::Peer;
 use crate::adapters::http1::UnreadBody;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use http::Response;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::context::Context;
@@ -14,6 +13,7 @@
 use crate::adapters::clock;
 use crate::adapters::http1::Connection;
 use crate::adapters::http1::Failure;
+use crate::adapters::http1::Incoming;
 use crate::domain::catalog::Repeat;
 use crate::domain::catalog::Service;
 use crate::domain::fleet::Target;
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -9,7 +9,6 @@
 use http::StatusCode;
 use http::header;
 use http::uri::PathAndQuery;
-use hyper::body::Incoming;
 
 use super::answer;
 use super::context::Context;
@@ -22,6 +21,7 @@
 use super::reuse::Reuse;
 use crate::adapters::clock;
 use crate::adapters::http1::Body;
+use crate::adapters::http1::Incoming;
 use crate::adapters::http1::Peer;
 use crate::adapters::http1::UnreadBody;
 use crate::domain::catalog::Access;
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use http::Response;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::attempt::Head;
@@ -20,6 +19,7 @@
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Connection;
 use crate::adapters::http1::Failure;
+use crate::adapters::http1::Incoming;
 use crate::adapters::http1::Incomplete;
 use crate::adapters::http1::collect_held;
 use crate::domain::catalog::Service;
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use hyper::body::Incoming;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::context::Context;
 use crate::adapters::clock;
+use crate::adapters::http1::Incoming;
 use crate::adapters::http1::Incomplete;
 use crate::adapters::http1::Limits;
 use crate::adapters::http1::collect_held;
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -5,11 +5,11 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 
 use super::context::Context;
 use super::heartbeat;
 use crate::adapters::http1::Body;
+use crate::adapters::http1::Incoming;
 use crate::adapters::http1::Incomplete;
 use crate::adapters::http1::UnreadBody;
 use crate::adapters::http1::collect_held;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -11,7 +11,6 @@
 
 use http::Response;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -28,6 +27,7 @@
 use crate::adapters::clock;
 use crate::adapters::http1::Body;
 use crate::adapters::http1::Connection;
+use crate::adapters::http1::Incoming;
 use crate::adapters::http1::Part;
 use crate::adapters::memory::Shortage;
 use crate::domain::catalog::Service;
--- a/src/gateway/stream_run.rs
+++ b/src/gateway/stream_run.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http::Response;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 
 use super::evidence;
 use super::request::Request;
@@ -15,6 +14,7 @@
 use crate::adapters::clock;
 use crate::adapters::http1::Connection;
 use crate::adapters::http1::Framing;
+use crate::adapters::http1::Incoming;
 use crate::domain::gateway::Event;
 use crate::domain::gateway::Outcome;
 use crate::domain::gateway::Splitter;
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -2,10 +2,15 @@
 
 mod site;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use heatherramp::adapters::http1;
 use heatherramp::cli;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use site::events;
@@ -100,6 +105,61 @@
     .await;
 }
 
+/// Guards against a chunk whose size has no end: leading zeros of it, or blanks after it, held an attempt until the
+/// deadline of its request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_chunk_size_without_end_is_given_up() {
+    const FIRST_CHUNK: &str = "{signed}transfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n";
+    let text = |byte: &str| byte.repeat(8_192);
+    assert_bounded(240, "/lookup/1", without_end(FIRST_CHUNK, &text("0"))).await;
+    assert_bounded(
+        241,
+        "/lookup/1",
+        without_end("{signed}transfer-encoding: chunked\r\n\r\n1", &text(" ")),
+    )
+    .await;
+    assert_bounded(242, "/stream/1", without_end(FIRST_CHUNK, &text("0"))).await;
+}
+
+/// The same from a caller.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_with_a_chunk_size_without_end_is_given_up() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let answer_with_length = |request: http::Request<_>| async {
+        let body = http1::collect(request.into_body(), MAX_BYTES_READ).await;
+        http::Response::new(http1::Body::whole(format!("{body:?}")))
+    };
+    let server = http1::serve(address, 64 << 10, Duration::from_secs(1), answer_with_length).await;
+    let mut stream = TcpStream::connect(server.unwrap().address).await.unwrap();
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let text = "0".repeat(8_192);
+    let mut sent = 0;
+    while stream.write_all(text.as_bytes()).await.is_ok() {
+        sent += text.len();
+        assert!(sent < MAX_BYTES_READ, "{sent} bytes were read");
+    }
+}
+
+/// Guards against a limit on what lies between the parts of a body that counts the parts themselves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_of_many_small_chunks_is_read_to_its_end() {
+    const CHUNKS: usize = 1 << 20;
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let answer_with_length = |request: http::Request<_>| async {
+        let body = http1::collect(request.into_body(), MAX_BYTES_READ).await;
+        http::Response::new(http1::Body::whole(format!("{:?}", body.map(|b| b.len()))))
+    };
+    let server = http1::serve(address, 8 << 10, Duration::from_secs(30), answer_with_length).await;
+    let mut stream = TcpStream::connect(server.unwrap().address).await.unwrap();
+    let head = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n";
+    let request = format!("{head}{}0\r\n\r\n", "1\r\nx\r\n".repeat(CHUNKS));
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.ends_with(&format!("Ok({CHUNKS})")), "{answer}");
+}
+
 /// Events without end, faster than the caller reads them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_without_end_ends_at_its_deadline() {
--- a/tests/site/vm.rs
+++ b/tests/site/vm.rs
@@ -8,11 +8,11 @@
 
 use heatherramp::adapters::http1;
 use heatherramp::adapters::http1::Body;
+use heatherramp::adapters::http1::Incoming;
 use heatherramp::adapters::http1::Part;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::mpsc;
