fleet: a new leader lets members join only once it has heard them

What it costs callers: after a change of leader, all members of all groups get an order to join the group that they are in, which by the protocol replaces their membership; an open head no longer serves then.

Cause: a member whose stage is not known counted as one that is not in the group. A new leader knows no stage before the first heartbeats.

Change: an order to join goes only to members that this leader has heard.

--- a/src/domain/fleet/lifecycle.rs
+++ b/src/domain/fleet/lifecycle.rs
@@ -238,7 +238,9 @@
         for member in &group.members {
             let stage = view.stage(group, member);
             all_ready &= matches!(stage, Some(Stage::Ready | Stage::Open));
-            if stage.is_none() && !self.was_sent_lately(member, view) {
+            // One that has not been heard may be in the group, and a join would replace its membership.
+            let is_missing = stage.is_none() && view.registry.get(&member.id).is_some();
+            if is_missing && !self.was_sent_lately(member, view) {
                 let task = Task::Join {
                     model: group.model.clone(),
                     members: group.members.iter().map(|m| m.id.clone()).collect(),
--- a/tests/paused/mod.rs
+++ b/tests/paused/mod.rs
@@ -420,7 +420,14 @@
         vm.next_heartbeat_at = now + HEARTBEAT_MS;
         vm.last_heartbeat_at = now;
         vm.sequence += 1;
-        let announcement = Announcement {
+        let announcement = self.announcement(i);
+        self.call(Call::Announce(Box::new(announcement)));
+    }
+
+    /// Latest heartbeat of a VM.
+    pub fn announcement(&self, i: usize) -> Announcement {
+        let vm = &self.vms[i];
+        Announcement {
             id: vm.id.clone(),
             incarnation: 1,
             sequence: vm.sequence,
@@ -433,8 +440,7 @@
             cold_ms: 0,
             staged: vec!["large".to_owned()],
             membership: vm.membership.clone(),
-        };
-        self.call(Call::Announce(Box::new(announcement)));
+        }
     }
 }
 
