fleet: a new leader ignores heartbeats that an earlier one has overtaken

What it costs callers: a heartbeat from before a group that comes late is the first that a new leader hears of the VM. An open group is closed as left and its answers are cut, and a closing one is dissolved while its head still answers, so that its VMs are claimed twice.

Cause: the numbers that show which heartbeat is the later one were in the memory of one leader only.

Change: members in the log carry the number of the first heartbeat that may show them in their group. A new leader ignores earlier ones, and those of an earlier incarnation, as long as a registry keeps a silent VM. Both fields are optional, so earlier builds read the log.

--- a/src/domain/fleet/digests.rs
+++ b/src/domain/fleet/digests.rs
@@ -133,7 +133,7 @@
     /// Records a heartbeat that a controller received `age` ago.
     pub(super) fn record_heartbeat(&mut self, now: Duration, age: Duration, announcement: Announcement) {
         let id = announcement.id.clone();
-        if self.has_departed(&announcement) {
+        if self.has_departed(&announcement) || self.is_overtaken(now, &announcement) {
             return;
         }
         if self.displaces_vm_in_use(&announcement) {
@@ -152,6 +152,23 @@
         }
     }
 
+    /// Whether an earlier leader has heard a later heartbeat of the VM, as far as the log shows.
+    ///
+    /// The log counts as long as a registry keeps a VM that is silent: the clock of a VM may be set back.
+    fn is_overtaken(&self, now: Duration, announcement: &Announcement) -> bool {
+        let retention = self.timing.vm_retention();
+        if self.leading_since.is_none_or(|since| now >= since + retention) {
+            return false;
+        }
+        let id = &announcement.id;
+        let group = self.state.group_of(id);
+        let member = group.and_then(|g| g.members.iter().find(|m| m.id == *id));
+        let listed = self.state.listed.get(id);
+        let in_group = member.map(|m| (m.incarnation, m.first_sequence.unwrap_or(0)));
+        let known = in_group.max(listed.map(|target| (target.incarnation, 0)));
+        Some((announcement.incarnation, announcement.sequence)) < known
+    }
+
     /// Whether a heartbeat is of a service that the catalog does not have, and would take the place of a VM
     /// of one that it has.
     fn displaces_vm_in_use(&self, announcement: &Announcement) -> bool {
--- a/src/domain/fleet/groups.rs
+++ b/src/domain/fleet/groups.rs
@@ -139,9 +139,9 @@
                     out.push(Action::Order(order));
                 }
                 Effect::Phase(phase, time) => out.push(Action::Telemetry(Telemetry::Phase(phase, time))),
-                Effect::Opened => {
+                Effect::Opened(sequences) => {
                     out.push(Action::Telemetry(Telemetry::Opened(epoch)));
-                    self.propose(now, None, Command::Open { epoch }, out);
+                    self.propose(now, None, Command::Open { epoch, sequences }, out);
                 }
                 Effect::Lost(loss, vm) => {
                     out.push(Action::Telemetry(Telemetry::Lost(epoch, loss, vm)));
--- a/src/domain/fleet/lifecycle.rs
+++ b/src/domain/fleet/lifecycle.rs
@@ -90,8 +90,8 @@
 #[derive(Debug)]
 pub(super) enum Effect {
     Order(Order),
-    /// The head accepts requests.
-    Opened,
+    /// The head accepts requests. Number of the latest heartbeat of each member that shows it in the group.
+    Opened(Vec<Option<u64>>),
     /// The group is to be closed: the reason, and the identifier of the VM that caused it.
     Lost(Loss, String),
     /// The head accepts no more requests, so the group may be dissolved.
@@ -256,7 +256,7 @@
                 if let Some(at) = self.open_ordered_at {
                     out.push(Effect::Phase(Phase::Opening, view.now - at));
                 }
-                out.push(Effect::Opened);
+                out.push(Effect::Opened(view.member_sequences(group)));
             }
         } else if all_ready {
             if self.open_ordered_at.is_none() {
--- a/src/domain/fleet/reconciliation.rs
+++ b/src/domain/fleet/reconciliation.rs
@@ -240,6 +240,7 @@
             incarnation: vm.announcement.incarnation,
             address: vm.announcement.address.clone(),
             zone: vm.announcement.zone.clone(),
+            first_sequence: vm.announcement.sequence.checked_add(1),
         })
     }
 
--- a/src/domain/fleet/state.rs
+++ b/src/domain/fleet/state.rs
@@ -50,6 +50,10 @@
     pub address: String,
     /// Availability zone.
     pub zone: String,
+    /// Number of the first heartbeat that may show the VM in the group; earlier ones are out of date. Groups of earlier
+    /// versions have none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub first_sequence: Option<u64>,
 }
 
 /// Group of VMs that serve one model.
@@ -103,6 +107,9 @@
     Open {
         /// Epoch of the group.
         epoch: u64,
+        /// Number of the latest heartbeat of each member that shows it in the group. Earlier versions ignore it.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        sequences: Vec<Option<u64>>,
     },
     /// Send no more requests to a group.
     Close {
@@ -217,9 +224,12 @@
                 members,
             } => self.form_group(index, service, model, members),
             Command::Serve => self.has_traffic = true,
-            Command::Open { epoch } => {
+            Command::Open { epoch, sequences } => {
                 if let Some(group) = self.groups.get_mut(epoch) {
                     group.opened = true;
+                    for (member, sequence) in group.members.iter_mut().zip(sequences) {
+                        member.first_sequence = member.first_sequence.max(*sequence);
+                    }
                 }
             }
             Command::Close { epoch } => {
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -78,6 +78,16 @@
         is_same.then_some(membership.stage)
     }
 
+    /// Number of the latest heartbeat of each member that shows it in this group.
+    pub(super) fn member_sequences(&self, group: &Group) -> Vec<Option<u64>> {
+        let sequence = |member: &Member| {
+            self.stage(group, member)?;
+            let vm = self.registry.get(&member.id)?;
+            Some(vm.announcement.sequence)
+        };
+        group.members.iter().map(sequence).collect()
+    }
+
     /// Heartbeat that shows that a member other than the head is not in the group any more, if there is one.
     ///
     /// A VM that has said that it shuts down may still be in the group, and so may a silent one. Heartbeats from
--- a/tests/paused/mod.rs
+++ b/tests/paused/mod.rs
@@ -44,6 +44,7 @@
 
 pub struct Vm {
     pub id: String,
+    pub incarnation: u64,
     pub sequence: u64,
     pub membership: Option<Membership>,
     pub next_heartbeat_at: u64,
@@ -159,6 +160,7 @@
     pub fn start() -> Self {
         let vm = |number: u64| Vm {
             id: format!("vm{number}"),
+            incarnation: 1,
             sequence: 0,
             membership: None,
             next_heartbeat_at: 0,
@@ -429,7 +431,7 @@
         let vm = &self.vms[i];
         Announcement {
             id: vm.id.clone(),
-            incarnation: 1,
+            incarnation: vm.incarnation,
             sequence: vm.sequence,
             service: "engine".to_owned(),
             address: format!("127.0.0.1:{}", 1_000 + i),
