--- a/src/domain/fleet/leave.rs
+++ b/src/domain/fleet/leave.rs
@@ -55,13 +55,13 @@
     }
 
     /// Latest incarnation of a VM that has shut down, if one is recorded.
-    fn departed_incarnation(&self, id: &str) -> Option<u64> {
+    pub(super) fn departed_incarnation(&self, id: &str) -> Option<u64> {
         self.state.departed.get(id).map(|(incarnation, _)| *incarnation)
     }
 
     /// Whether a heartbeat is of an incarnation that has shut down, as this or an earlier leader has
     /// acknowledged.
     pub(super) fn has_departed(&self, announcement: &Announcement) -> bool {
-        self.departed_incarnation(&announcement.id) >= Some(announcement.incarnation)
+        self.departed_incarnation(&announcement.id) == Some(announcement.incarnation)
     }
 }
--- a/src/domain/fleet/registry.rs
+++ b/src/domain/fleet/registry.rs
@@ -71,7 +71,7 @@
     pub fn record_heartbeat(&mut self, now: Duration, age: Duration, announcement: Announcement) -> bool {
         let heard_at = now.saturating_sub(age);
         let tombstone = self.tombstones.get(&announcement.id);
-        if tombstone.is_some_and(|incarnation| announcement.incarnation <= *incarnation) {
+        if tombstone == Some(&announcement.incarnation) {
             return false;
         }
         if let Some(known) = self.vms.get(&announcement.id) {
@@ -224,7 +224,7 @@
 
     /// Whether an incarnation of a VM has shut down with its last call.
     pub(super) fn has_left(&self, id: &str, incarnation: u64) -> bool {
-        self.tombstones.get(id).copied() >= Some(incarnation)
+        self.tombstones.get(id) == Some(&incarnation)
     }
 
     /// All known VMs, including those that are gone.
--- a/tests/late_heartbeats.rs
+++ b/tests/late_heartbeats.rs
@@ -123,21 +123,46 @@
     }
 }
 
-/// A VM whose clock was set back has an older incarnation than the log knows.
-#[test]
-fn a_vm_whose_clock_was_set_back_is_heard_by_a_new_leader_in_time() {
-    let mut system = System::with_open_group();
-    system.answers_end = system.now;
-    system.restart_controller();
-    let restarted_at = system.now;
+/// Lets both VMs start again with an incarnation that is older than the one before.
+fn set_clocks_back(system: &mut System) {
     for vm in &mut system.vms {
         vm.incarnation = 0;
         vm.membership = None;
         vm.sequence = 0;
     }
-    let is_back = |system: &System| system.vms.iter().any(|vm| vm.serves());
-    while !is_back(&system) {
-        assert!(system.now < restarted_at + 25_000, "not in use again");
+}
+
+fn assert_in_use_again(system: &mut System) {
+    let started_at = system.now;
+    while !system.vms.iter().any(|vm| vm.serves()) {
+        assert!(system.now < started_at + 25_000, "not in use again");
         system.advance();
     }
 }
+
+/// A VM whose clock was set back has an older incarnation than the log knows.
+#[test]
+fn a_vm_whose_clock_was_set_back_is_heard_by_a_new_leader_in_time() {
+    let mut system = System::with_open_group();
+    system.answers_end = system.now;
+    system.restart_controller();
+    set_clocks_back(&mut system);
+    assert_in_use_again(&mut system);
+}
+
+/// Guards against a VM that is never used again: it has shut down, and its clock was set back when it started again.
+#[test]
+fn a_vm_that_had_left_is_used_again_after_its_clock_was_set_back() {
+    for has_new_leader in [false, true] {
+        let mut system = System::with_open_group();
+        system.answers_end = system.now;
+        for vm in ["vm0", "vm1"] {
+            system.call(Call::Leave { id: vm.to_owned() });
+        }
+        set_clocks_back(&mut system);
+        if has_new_leader {
+            system.restart_controller();
+        }
+        assert_in_use_again(&mut system);
+    }
+}
