catalog: hosts that differ in letter case only are one host

Cause: the validation compared hosts as written, the lookup in lower case.

Change: a change with two such routes is refused where it is received. Gateways still take one that an earlier build has put in force.

Evidence: a new test in tests/catalog.rs failed before and passes. The property test in tests/configuration_check.rs named the conversion alone as what controllers accept; it names both checks now.

--- a/src/domain/catalog/mod.rs
+++ b/src/domain/catalog/mod.rs
@@ -30,3 +30,4 @@
 pub use review::Finding;
 pub use review::Kind;
 pub use review::review;
+pub use validate::check_hosts;
--- a/src/domain/catalog/validate.rs
+++ b/src/domain/catalog/validate.rs
@@ -53,6 +53,27 @@
     Ok(())
 }
 
+/// Checks that no two routes have the same prefix and hosts that differ in letter case only.
+///
+/// Apart from the conversion to a [`Catalog`], since earlier versions have put such definitions in force.
+///
+/// # Errors
+///
+/// The first two such routes.
+pub fn check_hosts(definition: &Definition) -> Result<(), Error> {
+    let mut route_names: HashMap<(String, &str), &str> = HashMap::new();
+    for route in &definition.routes {
+        let key = (route.host.to_ascii_lowercase(), route.prefix.as_str());
+        if let Some(first) = route_names.insert(key, &route.name) {
+            return Err(Error::DuplicateRoute {
+                first: first.to_owned(),
+                second: route.name.clone(),
+            });
+        }
+    }
+    Ok(())
+}
+
 /// Checks that no key belongs to two accounts.
 fn check_keys(definition: &Definition) -> Result<(), Error> {
     let mut owners: HashMap<&str, &str> = HashMap::new();
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -9,6 +9,7 @@
 use crate::domain::catalog::Catalog;
 use crate::domain::catalog::Definition;
 use crate::domain::catalog::Repeat;
+use crate::domain::catalog::check_hosts;
 
 /// Largest document that controllers accept, in bytes.
 pub const MAX_BYTES: usize = 8 << 20;
@@ -132,6 +133,7 @@
 /// Those of [`decode`], and the reason of the validation.
 pub fn check(body: &[u8]) -> Result<Definition, String> {
     let definition = decode(body)?;
+    check_hosts(&definition).map_err(|e| e.to_string())?;
     Catalog::try_from(definition.clone()).map_err(|e| e.to_string())?;
     Ok(definition)
 }
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -154,6 +154,21 @@
     );
 }
 
+/// Guards against a route that is adopted and gets no request: host names have no letter case.
+#[test]
+fn two_routes_whose_hosts_differ_in_letter_case_only_are_rejected() {
+    let mut document = document();
+    document["routes"][2]["host"] = json!("A.Example");
+    document["routes"][2]["path-prefix"] = json!("/x/");
+    let check = |document: &Value| configuration::check(document.to_string().as_bytes());
+    let reason = check(&document).expect_err("refused");
+    assert!(reason.contains("notes") && reason.contains("open"), "{reason}");
+    // Earlier versions have put such catalogs in force, and gateways must still take them.
+    assert!(build(&document).is_ok());
+    document["routes"][2]["host"] = json!("b.example");
+    assert!(check(&document).is_ok());
+}
+
 #[test]
 fn a_malformed_document_is_rejected_with_the_path_of_the_fault() {
     let text = document().to_string();
--- a/tests/configuration_check.rs
+++ b/tests/configuration_check.rs
@@ -5,6 +5,7 @@
 
 use heatherramp::domain::catalog::Catalog;
 use heatherramp::domain::catalog::Kind;
+use heatherramp::domain::catalog::check_hosts;
 use heatherramp::domain::catalog::differences;
 use heatherramp::domain::catalog::review;
 use heatherramp::platform::configuration;
@@ -47,9 +48,11 @@
     fn the_check_agrees_with_the_controllers_and_the_lookup(document in any_document()) {
         let body = document.to_string();
         let decoded = configuration::decode(body.as_bytes());
+        let ambiguous = decoded.as_ref().ok().and_then(|d| check_hosts(d).err());
+        let ambiguous = ambiguous.map(|e| e.to_string());
         let accepted = decoded.and_then(|d| Catalog::try_from(d).map_err(|e| e.to_string()));
         let checked = configuration::check(body.as_bytes());
-        prop_assert_eq!(checked.as_ref().err(), accepted.as_ref().err());
+        prop_assert_eq!(checked.as_ref().err(), ambiguous.as_ref().or(accepted.as_ref().err()));
         let Ok(catalog) = accepted else { return Ok(()) };
         let findings = review(catalog.definition());
         for route in &catalog.definition().routes {
