gateway: heads of up to 1,024 fields are read

Cause: the parser's own limit, which nothing in the settings or the configuration names.

Change: only the port for callers reads more than 100.

Evidence: tests/heads.rs failed before and passes; tests/memory.rs passes.

--- a/src/adapters/http1/limits.rs
+++ b/src/adapters/http1/limits.rs
@@ -8,6 +8,9 @@
 /// the buffers for writing.
 const CONNECTION_OVERHEAD: usize = 8 << 10;
 
+/// Largest number of fields of a request head that `hyper` parses on the stack.
+pub(super) const DEFAULT_HEAD_FIELDS: usize = 100;
+
 /// Descriptors that are reserved for the process's own files and connections.
 const RESERVED_DESCRIPTORS: usize = 200;
 
@@ -16,6 +19,8 @@
 pub struct Limits {
     /// Largest buffer of a request head, in bytes; at least 8 KiB is used.
     pub head_bytes: usize,
+    /// Largest number of fields of a request head.
+    pub head_fields: usize,
     /// Time without a whole request head after which a connection is closed.
     pub idle_timeout: Duration,
     /// Longest time from the first byte of a request head to its last one.
@@ -39,6 +44,7 @@
     pub fn new(head_bytes: usize, idle_timeout: Duration) -> Self {
         Limits {
             head_bytes,
+            head_fields: DEFAULT_HEAD_FIELDS,
             idle_timeout,
             head_timeout: Duration::MAX,
             write_timeout: Duration::MAX,
--- a/src/adapters/http1/server.rs
+++ b/src/adapters/http1/server.rs
@@ -35,6 +35,7 @@
 use super::activity::Observed;
 use super::allowance::Allowance;
 use super::allowance::Limited;
+use super::limits::DEFAULT_HEAD_FIELDS;
 use crate::adapters::memory::Hold;
 use crate::adapters::memory::Shortage;
 use crate::domain::memory::Kind;
@@ -280,6 +281,9 @@
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.idle_timeout)
             .max_buf_size(buffer_bytes);
+        if self.limits.head_fields > DEFAULT_HEAD_FIELDS {
+            builder.max_headers(self.limits.head_fields);
+        }
         let socket = Limited {
             stream: Observed {
                 stream,
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -28,6 +28,8 @@
 const STATUS_SIXTEENTHS: usize = 1;
 /// Largest request head of the ports for readiness and metrics.
 const STATUS_HEAD_BYTES: usize = 16 << 10;
+/// Largest number of fields of a request head.
+const HEAD_FIELDS: usize = 1_024;
 /// Descriptors that a request takes: the caller's connection and one to an upstream.
 const DESCRIPTORS_PER_REQUEST: usize = 2;
 /// Delay before a caller should send a body again that was refused: by then, bodies without progress have been
@@ -62,6 +64,7 @@
 pub(super) fn caller_limits(settings: &Gateway, budgets: &Budgets) -> Limits {
     Limits {
         memory: Some(budgets.callers.clone()),
+        head_fields: HEAD_FIELDS,
         ..limits(settings, settings.intake.head_bytes)
     }
 }
@@ -77,15 +80,13 @@
 fn limits(settings: &Gateway, head_bytes: usize) -> Limits {
     let intake = &settings.intake;
     Limits {
-        head_bytes,
-        idle_timeout: Duration::from_millis(intake.idle_ms),
         head_timeout: Duration::from_millis(intake.head_ms),
         write_timeout: Duration::from_millis(intake.write_pause_ms),
         answer_timeout: Duration::from_millis(intake.answer_ms),
         socket_bytes: Some(intake.socket_bytes),
         drain_bytes: intake.drain_bytes,
         drain_timeout: Duration::from_millis(intake.drain_ms),
-        memory: None,
+        ..Limits::new(head_bytes, Duration::from_millis(intake.idle_ms))
     }
 }
 
