gateway: a raised limit of request heads is kept

Cause: the buffer of a connection and its charge were fixed by a setting at the start of the process; a configuration could only lower the limit.

Change: the configuration in force sets the buffer of new connections, up to 1 MiB, and what they are charged for. On an older connection, a head that new ones take is refused with 503, which says that it has not run.

--- a/src/adapters/http1/activity.rs
+++ b/src/adapters/http1/activity.rs
@@ -1,7 +1,8 @@
 //! Activity of a server's connection, from which its time limits are derived.
 //!
 //! `hyper` limits the time for a head only together with the idle time before it, and the time for writing a
-//! response not at all, so both are observed at the socket.
+//! response not at all, so both are observed at the socket. So is the size of a head, which may be allowed meanwhile
+//! although it is too large for the connection.
 
 use std::io;
 use std::io::IoSlice;
@@ -17,14 +18,19 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
+use tokio::io::Take;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use super::Abort;
 use super::Body;
+use super::HeadLimit;
 use super::Limits;
+use super::allowance::Allowance;
 use crate::adapters::clock;
 use crate::adapters::memory::Hold;
 
@@ -39,9 +45,20 @@
     Busy,
 }
 
+/// Why a connection ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum End {
+    /// It has exceeded a time limit, or was dropped in favour of another one.
+    Expired,
+    /// A request head is larger than the connection's limit, and not larger than that of new connections.
+    Outdated,
+}
+
 #[derive(Debug, Default)]
 struct State {
     phase: Phase,
+    /// Bytes of the request head that has begun to arrive.
+    head_bytes: usize,
     /// Time since which the caller has taken no byte although some are ready.
     blocked_since: Option<Duration>,
     /// Time since which a whole answer is being sent.
@@ -54,21 +71,37 @@
     state: Mutex<State>,
     /// Charge for the connection, which may be dropped in favour of another one unless it is busy.
     hold: Option<Hold>,
+    /// Largest request head of this connection, in bytes.
+    pub(super) max_head_bytes: usize,
+    /// The same for new connections.
+    head_limit: HeadLimit,
+    /// Limit on what comes between the parts of a request's body.
+    pub(super) allowance: Allowance,
+    /// Notified when a request head is larger than the connection's limit, and allowed on new ones.
+    outdated: Notify,
 }
 
 impl Activity {
-    pub(super) fn new(hold: Option<Hold>) -> Self {
+    pub(super) fn new(hold: Option<Hold>, max_head_bytes: usize, head_limit: HeadLimit) -> Self {
         let activity = Activity {
             state: Mutex::default(),
             hold,
+            max_head_bytes,
+            head_limit,
+            allowance: Allowance::new(max_head_bytes),
+            outdated: Notify::new(),
         };
+        activity.allowance.lift();
         activity.set_droppable(true);
         activity
     }
 
     /// Records that a request has arrived, until the returned guard is dropped.
     pub(super) fn start_request(self: &Arc<Self>) -> Busy {
-        self.state().phase = Phase::Busy;
+        let mut state = self.state();
+        state.phase = Phase::Busy;
+        state.head_bytes = 0;
+        drop(state);
         self.set_droppable(false);
         Busy(self.clone())
     }
@@ -77,8 +110,13 @@
         self.state().phase == Phase::Busy
     }
 
-    /// Returns when the connection has exceeded a time limit or was dropped in favour of another one.
-    pub(super) async fn ended(&self, limits: &Limits) {
+    /// Whether the caller has not taken all of an answer that is ready.
+    pub(super) fn is_write_blocked(&self) -> bool {
+        self.state().blocked_since.is_some()
+    }
+
+    /// Returns when the connection has exceeded a limit or was dropped in favour of another one.
+    pub(super) async fn ended(&self, limits: &Limits) -> End {
         let dropped = async {
             match &self.hold {
                 Some(hold) => hold.dropped().await,
@@ -86,8 +124,9 @@
             }
         };
         tokio::select! {
-            () = self.expired(limits) => {}
-            () = dropped => {}
+            () = self.expired(limits) => End::Expired,
+            () = dropped => End::Expired,
+            () = self.outdated.notified() => End::Outdated,
         }
     }
 
@@ -126,8 +165,27 @@
         }
     }
 
-    fn record_read(&self) {
+    /// Bytes that the next read may take; none if the request head has to be sent again on a new connection.
+    fn readable_bytes(&self) -> Option<usize> {
+        let state = self.state();
+        if state.phase == Phase::Busy {
+            return Some(usize::MAX);
+        }
+        // `hyper` reads on only while the head is not complete, and refuses it at the next byte after the limit.
+        let left = self.max_head_bytes.saturating_sub(state.head_bytes);
+        if left == 0 && self.head_limit.get() > self.max_head_bytes {
+            self.outdated.notify_one();
+            return None;
+        }
+        Some(left.max(1))
+    }
+
+    fn record_read(&self, bytes: usize) {
         let mut state = self.state();
+        if state.phase == Phase::Busy {
+            return;
+        }
+        state.head_bytes += bytes;
         if state.phase == Phase::Idle {
             state.phase = Phase::Head(clock::now());
         }
@@ -155,6 +213,7 @@
         state.phase = Phase::Idle;
         state.answering_since = None;
         drop(state);
+        self.0.allowance.lift();
         self.0.set_droppable(true);
     }
 }
@@ -197,8 +256,21 @@
 
 /// Socket whose activity is recorded.
 pub(super) struct Observed {
-    pub(super) stream: TcpStream,
-    pub(super) activity: Arc<Activity>,
+    stream: Take<TcpStream>,
+    activity: Arc<Activity>,
+}
+
+impl Observed {
+    pub(super) fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
+        Observed {
+            stream: stream.take(0),
+            activity,
+        }
+    }
+
+    pub(super) fn into_stream(self) -> TcpStream {
+        self.stream.into_inner()
+    }
 }
 
 impl AsyncRead for Observed {
@@ -207,10 +279,15 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let Some(readable) = self.activity.readable_bytes() else {
+            return Poll::Pending;
+        };
+        self.stream.set_limit(readable as u64);
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if buffer.filled().len() > before {
-            self.activity.record_read();
+        let read = buffer.filled().len() - before;
+        if read > 0 {
+            self.activity.record_read(read);
         }
         result
     }
@@ -218,7 +295,7 @@
 
 impl AsyncWrite for Observed {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        let result = Pin::new(self.stream.get_mut()).poll_write(cx, bytes);
         self.activity.record_write(&result);
         result
     }
@@ -228,20 +305,20 @@
         cx: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, buffers);
+        let result = Pin::new(self.stream.get_mut()).poll_write_vectored(cx, buffers);
         self.activity.record_write(&result);
         result
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.get_ref().is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Pin::new(self.stream.get_mut()).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        Pin::new(self.stream.get_mut()).poll_shutdown(cx)
     }
 }
--- a/src/adapters/http1/allowance.rs
+++ b/src/adapters/http1/allowance.rs
@@ -49,6 +49,11 @@
         self.bytes.store(self.max_gap_bytes, Ordering::Relaxed);
     }
 
+    /// Ends the limit until the next part of a message sets one.
+    pub(super) fn lift(&self) {
+        self.bytes.store(usize::MAX, Ordering::Relaxed);
+    }
+
     fn take(&self, bytes: usize) {
         let left = self.bytes.load(Ordering::Relaxed);
         self.bytes.store(left.saturating_sub(bytes), Ordering::Relaxed);
--- a/src/adapters/http1/limits.rs
+++ b/src/adapters/http1/limits.rs
@@ -1,5 +1,8 @@
 //! Limits of a server's connections.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::adapters::memory::Memory;
@@ -14,11 +17,40 @@
 /// Descriptors that are reserved for the process's own files and connections.
 const RESERVED_DESCRIPTORS: usize = 200;
 
+/// Smallest buffer that `hyper` accepts for a request head, in bytes.
+const MIN_HEAD_BYTES: usize = 8 << 10;
+/// Largest request head that can be allowed, in bytes.
+const MAX_HEAD_BYTES: usize = 1 << 20;
+
+/// Largest buffer of a request head, in bytes; clones share it.
+#[derive(Clone, Debug)]
+pub struct HeadLimit(Arc<AtomicUsize>);
+
+impl HeadLimit {
+    /// Limit of `bytes`, at least 8 KiB and at most 1 MiB.
+    pub fn new(bytes: usize) -> Self {
+        let limit = HeadLimit(Arc::default());
+        limit.set(bytes);
+        limit
+    }
+
+    /// Changes the limit for new connections. An open one whose limit is lower asks its caller to send a larger head
+    /// again on a new one.
+    pub fn set(&self, bytes: usize) {
+        let bytes = bytes.clamp(MIN_HEAD_BYTES, MAX_HEAD_BYTES);
+        self.0.store(bytes, Ordering::Relaxed);
+    }
+
+    pub(super) fn get(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Limits of a server's connections.
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// Largest buffer of a request head, in bytes; at least 8 KiB is used.
-    pub head_bytes: usize,
+    /// Largest buffer of a request head.
+    pub head_limit: HeadLimit,
     /// Largest number of fields of a request head.
     pub head_fields: usize,
     /// Time without a whole request head after which a connection is closed.
@@ -43,7 +75,7 @@
     /// Limits of a head's size and of the time for it only.
     pub fn new(head_bytes: usize, idle_timeout: Duration) -> Self {
         Limits {
-            head_bytes,
+            head_limit: HeadLimit::new(head_bytes),
             head_fields: DEFAULT_HEAD_FIELDS,
             idle_timeout,
             head_timeout: Duration::MAX,
@@ -56,12 +88,17 @@
         }
     }
 
-    /// Memory for which one connection is charged.
+    /// Memory for which a new connection is charged.
     pub fn connection_bytes(&self) -> usize {
-        self.head_bytes + CONNECTION_OVERHEAD
+        connection_bytes(self.head_limit.get())
     }
 }
 
+/// Memory for which a connection with a buffer of `head_bytes` is charged.
+pub(super) fn connection_bytes(head_bytes: usize) -> usize {
+    head_bytes + CONNECTION_OVERHEAD
+}
+
 /// Largest number of connections, each of which takes `descriptors`; a `setting` of 0 derives it from the
 /// process's limit of descriptors.
 pub fn max_connections(setting: usize, descriptors: usize) -> usize {
--- a/src/adapters/http1/mod.rs
+++ b/src/adapters/http1/mod.rs
@@ -31,6 +31,7 @@
 pub use framing::Framing;
 pub use head::is_final;
 pub use incoming::Incoming;
+pub use limits::HeadLimit;
 pub use limits::Limits;
 pub use limits::max_connections;
 pub use server::Peer;
--- a/src/adapters/http1/server.rs
+++ b/src/adapters/http1/server.rs
@@ -32,10 +32,11 @@
 use super::Limits;
 use super::activity::Activity;
 use super::activity::Answer;
+use super::activity::End;
 use super::activity::Observed;
-use super::allowance::Allowance;
 use super::allowance::Limited;
 use super::limits::DEFAULT_HEAD_FIELDS;
+use super::limits::connection_bytes;
 use crate::adapters::memory::Hold;
 use crate::adapters::memory::Shortage;
 use crate::domain::memory::Kind;
@@ -46,9 +47,10 @@
 pub(super) const TCP_KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Smallest buffer that `hyper` accepts for a request head, in bytes.
-const MIN_HEAD_BYTES: usize = 8 << 10;
 
+/// Answer to a request head that new connections allow.
+const OUTDATED: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 0.010\r\nconnection: close\r\n\
+    content-length: 32\r\n\r\nsend it again on a new connection\n";
 /// Answer to a connection for which there is no room.
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1.000\r\nconnection: close\r\n\
     content-length: 21\r\n\r\ntoo many connections\n";
@@ -169,12 +171,13 @@
             };
             set_tcp_options(&stream);
             let (server, handler, limits) = (server_handle.clone(), handler.clone(), limits.clone());
-            let Ok(hold) = charge(&limits).await else {
+            let max_head_bytes = limits.head_limit.get();
+            let Ok(hold) = charge(&limits, max_head_bytes).await else {
                 if refusing.load(Ordering::Relaxed) < MAX_REFUSING {
                     let refusing = OpenConnection::new(&refusing);
                     tokio::spawn(async move {
                         let _refusing = refusing;
-                        refuse(stream, &limits).await;
+                        refuse(stream, REFUSAL, &limits).await;
                     });
                 }
                 continue;
@@ -183,7 +186,7 @@
                 let _open_connection = OpenConnection::new(&server.open_connections);
                 let connection = Connection {
                     peer,
-                    activity: Arc::new(Activity::new(hold)),
+                    activity: Arc::new(Activity::new(hold, max_head_bytes, limits.head_limit.clone())),
                     server: &server,
                     limits: &limits,
                 };
@@ -194,20 +197,20 @@
     Ok(server)
 }
 
-/// Charges the budget for a new connection.
-async fn charge(limits: &Limits) -> Result<Option<Hold>, Shortage> {
+/// Charges the budget for a new connection with heads of at most `max_head_bytes`.
+async fn charge(limits: &Limits, max_head_bytes: usize) -> Result<Option<Hold>, Shortage> {
     let Some(memory) = &limits.memory else {
         return Ok(None);
     };
     let hold = memory.open(Kind::Connection, None);
-    hold.charge(limits.connection_bytes()).await?;
+    hold.charge(connection_bytes(max_head_bytes)).await?;
     Ok(Some(hold))
 }
 
-/// Refuses a connection for which there is no room, before its request is read.
-async fn refuse(mut stream: TcpStream, limits: &Limits) {
+/// Refuses a request before it is read, and ends its connection.
+async fn refuse(mut stream: TcpStream, answer: &[u8], limits: &Limits) {
     // An error means that the caller has disconnected.
-    let _ = stream.write_all(REFUSAL).await;
+    let _ = stream.write_all(answer).await;
     let _ = stream.shutdown().await;
     drain(&mut stream, limits).await;
 }
@@ -250,8 +253,7 @@
         let (caller_is_http_1_0, leaves_body) = (is_http_1_0.clone(), has_unread_body.clone());
         let (closing, activity) = (self.server.closing.clone(), self.activity.clone());
         let peer = Peer(self.peer.ip());
-        let buffer_bytes = self.limits.head_bytes.max(MIN_HEAD_BYTES);
-        let allowance = Allowance::new(buffer_bytes);
+        let allowance = activity.allowance.clone();
         let body_allowance = allowance.clone();
         let service = service_fn(move |request: Request<hyper::body::Incoming>| {
             let mut request = request.map(|body| Incoming::new(body, body_allowance.clone()));
@@ -280,30 +282,30 @@
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.idle_timeout)
-            .max_buf_size(buffer_bytes);
+            .max_buf_size(self.activity.max_head_bytes + 1);
         if self.limits.head_fields > DEFAULT_HEAD_FIELDS {
             builder.max_headers(self.limits.head_fields);
         }
         let socket = Limited {
-            stream: Observed {
-                stream,
-                activity: self.activity.clone(),
-            },
+            stream: Observed::new(stream, self.activity.clone()),
             allowance,
         };
         let mut connection = builder.serve_connection(TokioIo::new(socket), service);
         let ended = tokio::select! {
-            ended = &mut connection => Some(ended),
-            () = self.activity.ended(self.limits) => None,
+            ended = &mut connection => Ok(ended),
+            end = self.activity.ended(self.limits) => Err(end),
         };
         let was_busy = self.activity.is_busy();
-        let mut stream = connection.into_parts().io.into_inner().stream.stream;
+        let mut stream = connection.into_parts().io.into_inner().stream.into_stream();
         // An error ends only this connection; usually the caller has disconnected.
         let must_reset = match ended {
             // Only a reset shows this caller that its answer was aborted.
-            Some(ended) => ended.is_err() && is_http_1_0.load(Ordering::Relaxed),
+            Ok(ended) => ended.is_err() && is_http_1_0.load(Ordering::Relaxed),
+            // A refusal must not follow a part of an earlier answer.
+            Err(_) if self.activity.is_write_blocked() => true,
+            Err(End::Outdated) => return refuse(stream, OUTDATED, self.limits).await,
             // A reset also discards what the caller has not taken.
-            None => was_busy,
+            Err(End::Expired) => was_busy,
         };
         if must_reset {
             // Fails if the connection is gone.
--- a/src/domain/catalog/review.rs
+++ b/src/domain/catalog/review.rs
@@ -21,6 +21,9 @@
 /// Characters that no host name of a request contains; a port is cut off before the comparison.
 const NOT_IN_HOSTS: [char; 5] = [':', '/', '*', '@', ' '];
 
+/// Size from which gateways refuse a request head whatever the catalog allows.
+const MAX_HEAD_BYTES: usize = 1_000_000;
+
 /// Kind of a finding.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -173,7 +176,11 @@
 }
 
 fn size_reasons(limits: &Limits) -> impl Iterator<Item = &'static str> + use<> {
-    let head = (limits.head_bytes == 0).then_some("no request head is small enough");
+    let head = match limits.head_bytes {
+        0 => Some("no request head is small enough"),
+        MAX_HEAD_BYTES.. => Some("request heads of a million bytes are refused all the same"),
+        _ => None,
+    };
     let body = (limits.body_bytes == 0).then_some("every request with a body is refused");
     head.into_iter().chain(body)
 }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -166,6 +166,8 @@
     }
 
     pub(super) fn set_catalog(&self, catalog: Arc<Catalog>) {
+        self.budgets
+            .allow_heads(&self.intake, &catalog.definition().limits);
         *self.catalog.lock().expect("no panic under this lock") = Some(catalog);
     }
 
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -10,16 +10,19 @@
 
 use super::context::Context;
 use crate::adapters::clock;
+use crate::adapters::http1::HeadLimit;
 use crate::adapters::http1::Incoming;
 use crate::adapters::http1::Incomplete;
 use crate::adapters::http1::Limits;
 use crate::adapters::http1::collect_held;
 use crate::adapters::http1::max_connections;
 use crate::adapters::memory::Memory;
+use crate::domain::catalog;
 use crate::domain::memory::Change;
 use crate::domain::memory::Kind;
 use crate::logging;
 use crate::settings::Gateway;
+use crate::settings::Intake;
 
 /// Parts of the VM's memory, in sixteenths, that callers and the ports for readiness and metrics may make the
 /// process hold. The rest is for the process itself (18 MB at rest in a build without optimisation), for what
@@ -28,6 +31,8 @@
 const STATUS_SIXTEENTHS: usize = 1;
 /// Largest request head of the ports for readiness and metrics.
 const STATUS_HEAD_BYTES: usize = 16 << 10;
+/// Bytes of a request head beside those of its fields, which the catalog limits.
+const REQUEST_LINE_BYTES: usize = 8 << 10;
 /// Largest number of fields of a request head.
 const HEAD_FIELDS: usize = 1_024;
 /// Descriptors that a request takes: the caller's connection and one to an upstream.
@@ -43,6 +48,8 @@
 pub(super) struct Budgets {
     pub(super) callers: Memory,
     pub(super) status: Memory,
+    /// Largest request head of callers.
+    head_limit: HeadLimit,
 }
 
 impl Budgets {
@@ -56,14 +63,22 @@
             // Connections leave half of the budget to what is sent over them.
             callers: Memory::new(callers, connections.min(callers / 2)),
             status: Memory::new(status, status / 4 * 3),
+            head_limit: HeadLimit::new(settings.intake.head_bytes),
         }
     }
+
+    /// Lets callers send the heads that a catalog allows.
+    pub(super) fn allow_heads(&self, intake: &Intake, allowed: &catalog::Limits) {
+        let needed = allowed.head_bytes.saturating_add(REQUEST_LINE_BYTES);
+        self.head_limit.set(intake.head_bytes.max(needed));
+    }
 }
 
 /// Limits of the port for callers.
 pub(super) fn caller_limits(settings: &Gateway, budgets: &Budgets) -> Limits {
     Limits {
         memory: Some(budgets.callers.clone()),
+        head_limit: budgets.head_limit.clone(),
         head_fields: HEAD_FIELDS,
         ..limits(settings, settings.intake.head_bytes)
     }
--- a/src/settings/intake.rs
+++ b/src/settings/intake.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Intake {
-    /// Largest buffer of a request head, in bytes; the catalog may set a lower limit.
+    /// Buffer of a request head, in bytes; larger if the catalog allows larger heads.
     pub head_bytes: usize,
     /// Longest time from the first byte of a request head to its last one, in milliseconds.
     pub head_ms: u64,
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -233,6 +233,23 @@
     assert_bounded(218, "heads without an end", head, 2_500).await;
 }
 
+/// Guards against heads that are each within a raised limit and together exceed the VM's memory.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_heads_at_a_gateway_are_bounded_together() {
+    let _alone = LOCK.lock().await;
+    let site = Site::start(247);
+    let _desk = Vm::start("desk0", "desk", site.controllers.clone()).await;
+    let mut document: Value = serde_json::from_str(&document(3)).unwrap();
+    document["limits"] = json!({"max-header-bytes": 900_000, "max-body-bytes": BODY_BYTES,
+                               "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000});
+    let answer = site
+        .call_controllers("PUT", "/configuration", &document.to_string())
+        .await;
+    assert_eq!(answer.map(|(status, _)| status), Some(200));
+    let caller = Caller::new("", vec![b'x'; 65_536], 13);
+    observe(&site, "large heads", ("gateway-g1", site.gateway), caller, 250).await;
+}
+
 /// Guards against configurations, of a legal size each, that exceed a controller's memory together.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn configurations_at_a_controller_are_bounded_together() {
