site: no port is drawn twice

Cause: a drawn port is free until its process binds it, and earlier draws were forgotten.

Change: the draws of a site are remembered.

--- a/src/cli/site.rs
+++ b/src/cli/site.rs
@@ -3,6 +3,7 @@
 //! The demo runs it in one process; tests and benchmarks run its daemons as
 //! separate processes.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
@@ -54,8 +55,9 @@
             key: file("node.key"),
         };
         let zones: Vec<String> = zones.iter().map(|z| (*z).to_owned()).collect();
+        let mut ports = Ports::default();
         let addresses = (0..controls)
-            .map(|_| free_udp_address())
+            .map(|_| ports.udp_address())
             .collect::<Result<Vec<_>, _>>()?;
         let peer = |(i, address): (usize, &SocketAddr)| Peer {
             name: format!("c{}", i + 1),
@@ -76,7 +78,7 @@
             site.controls.push(Control {
                 name: peers[i].name.clone(),
                 listen_peer,
-                listen_http: free_tcp_address()?,
+                listen_http: ports.tcp_address()?,
                 data_folder: folder.join(&peers[i].name).display().to_string(),
                 control: peers.clone(),
                 availability_zones: zones.clone(),
@@ -89,8 +91,8 @@
             site.entries.push(Entry {
                 name: format!("e{}", i + 1),
                 availability_zone: zones[i % zones.len()].clone(),
-                listen_http: free_tcp_address()?,
-                listen_peer: free_udp_address()?,
+                listen_http: ports.tcp_address()?,
+                listen_peer: ports.udp_address()?,
                 control: peers.clone(),
                 keys: keys.clone(),
                 ..Entry::default()
@@ -110,24 +112,32 @@
     }
 }
 
-fn free_tcp_address() -> Result<SocketAddr, String> {
-    free_address(|address| TcpListener::bind(address).map(drop))
+/// Draws of free ports, none of which is drawn twice.
+#[derive(Default)]
+struct Ports {
+    drawn: HashSet<u16>,
 }
 
-fn free_udp_address() -> Result<SocketAddr, String> {
-    free_address(|address| UdpSocket::bind(address).map(drop))
-}
+impl Ports {
+    fn tcp_address(&mut self) -> Result<SocketAddr, String> {
+        self.address(|address| TcpListener::bind(address).map(drop))
+    }
 
-/// Draws a loopback address that `bind` accepts.
-///
-/// Its port is outside the range from which the operating system takes ports for outgoing
-/// connections and for port 0, so that it is unlikely to be taken before the process binds it.
-fn free_address(bind: impl Fn(SocketAddr) -> std::io::Result<()>) -> Result<SocketAddr, String> {
-    for _ in 0..MAX_PORT_TRIES {
-        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(PORT_RANGE)));
-        if bind(address).is_ok() {
-            return Ok(address);
+    fn udp_address(&mut self) -> Result<SocketAddr, String> {
+        self.address(|address| UdpSocket::bind(address).map(drop))
+    }
+
+    /// Draws a loopback address that `bind` accepts.
+    ///
+    /// Its port is outside the range from which the operating system takes ports for outgoing
+    /// connections and for port 0, so that it is unlikely to be taken before the process binds it.
+    fn address(&mut self, bind: impl Fn(SocketAddr) -> std::io::Result<()>) -> Result<SocketAddr, String> {
+        for _ in 0..MAX_PORT_TRIES {
+            let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(PORT_RANGE)));
+            if self.drawn.insert(address.port()) && bind(address).is_ok() {
+                return Ok(address);
+            }
         }
+        Err("no free port".to_owned())
     }
-    Err("no free port".to_owned())
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::process::Command;
 use std::process::Output;
 
@@ -142,3 +143,15 @@
     }
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// Guards against two processes of a site that listen on the same port, of which one ends.
+#[test]
+fn the_processes_of_a_site_have_different_addresses() {
+    let folder = std::env::temp_dir().join(format!("heatherramp-ports-{}", std::process::id()));
+    let site = Site::new(&folder, 100, 900, &["north"]).expect("a site");
+    std::fs::remove_dir_all(&folder).expect("removed");
+    let of_controls = site.controls.iter().flat_map(|c| [c.listen_peer, c.listen_http]);
+    let of_entries = site.entries.iter().flat_map(|e| [e.listen_peer, e.listen_http]);
+    let addresses: BTreeSet<_> = of_controls.chain(of_entries).collect();
+    assert_eq!(addresses.len(), 2_000);
+}
