--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -80,6 +80,20 @@
     check_refusals(&cluster, &path);
 }
 
+/// Guards against a change that is reported to be in force while no entry has it.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_change_is_in_force_before_an_entry_has_joined() {
+    let cluster = Cluster::start("wait", (1, 0), &["north"], |_, _| {}).await;
+    cluster.status().await;
+    let file = cluster.site.folder.join("notes.json");
+    std::fs::write(&file, engine_document(&["north"], 1, 1).to_string()).unwrap();
+    run_successfully(&cluster, &["env", "submit", &file.display().to_string()]);
+    run_successfully(&cluster, &["env", "promote", "notes"]);
+    let output = run(&cluster, &["env", "wait", "notes", "--seconds", "1"]);
+    assert!(!output.status.success(), "{}", text(&output));
+    assert!(text(&output).contains("no entry has joined"), "{}", text(&output));
+}
+
 /// Asserts the exit code and a part of the message of commands that must fail.
 fn check_refusals(cluster: &Cluster, path: &str) {
     let cases: [(&[&str], i32, &str); 5] = [
