gateway: one that hears nothing reports no stalled upstreams

What callers saw: a gateway that reaches no upstream by any way reports all of them as stalled, and controllers give up sound groups after one late heartbeat; callers are refused after the links are back.

Cause: a link counted as suspect only after a detour had shown it, and without another gateway there is none.

Change: no stall is reported while two targets or more have stalled and nothing has arrived on any direct link for as long as a stream may be silent.

--- a/src/domain/gateway/reach.rs
+++ b/src/domain/gateway/reach.rs
@@ -16,6 +16,9 @@
 const DETOUR_TIME: Duration = Duration::from_millis(1_500);
 /// Time after the end of a detour in which it still shows that the links are at fault.
 const DETOUR_MEMORY: Duration = Duration::from_millis(3_000);
+/// Time without anything on any direct link after which targets that have stalled do not show whose fault it is; a
+/// stream without an event for that long counts as stalled.
+const LINK_SILENCE: Duration = Duration::from_millis(350);
 /// Targets with detours from which on the gateway is partitioned.
 const PARTITIONED_TARGETS: usize = 2;
 /// Time for which a helper that did not answer is asked last.
@@ -94,6 +97,13 @@
         self.heard_at = Some(now);
     }
 
+    /// Whether the links of all targets may be at fault: several of them have stalled, and nothing has arrived on any
+    /// direct link for a while, not even the acceptance of a connection.
+    pub fn is_cut_off(&self, now: Duration, stalled: usize) -> bool {
+        let is_silent = self.heard_at.is_none_or(|at| now > at + LINK_SILENCE);
+        stalled >= PARTITIONED_TARGETS && is_silent
+    }
+
     /// Whether detours lead to several targets, or have done so and one is left.
     pub fn is_partitioned(&self, now: Duration) -> bool {
         let least = if self.is_partitioned {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -213,7 +213,8 @@
     let mut balancer = context.balancer();
     let mut stalled = balancer.stalled(now);
     let reach = context.reach();
-    stalled.retain(|target| !reach.is_link_suspect(now, target));
+    let is_cut_off = reach.is_cut_off(now, stalled.len());
+    stalled.retain(|target| !is_cut_off && !reach.is_link_suspect(now, target));
     drop(reach);
     context.metrics.stalled_targets.set(stalled.len() as i64);
     Report {
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -173,3 +173,18 @@
     assert_eq!(chosen.revision, all.revision);
     assert!(all.select("g", "z9", "r9", None).list.is_empty());
 }
+
+/// Guards against upstreams that run and are reported as stalled by a gateway that hears nothing at all, which made
+/// controllers give up their groups.
+#[test]
+fn a_gateway_that_hears_nothing_knows_nothing_of_stalled_targets() {
+    let mut reach = Reach::default();
+    reach.record_heard(at(0));
+    assert!(!reach.is_cut_off(at(350), 2), "both may have stalled");
+    assert!(reach.is_cut_off(at(351), 2));
+    // One target that stalls is rather the one at fault.
+    assert!(!reach.is_cut_off(at(351), 1));
+    // Another target has accepted a connection meanwhile.
+    reach.record_direct(at(400), "t3");
+    assert!(!reach.is_cut_off(at(500), 2));
+}
