placement: a rollout waits until the owner of a new group knows of it

Cause: a new group counted as serving once its members were ready, although nobody may own it yet.

Change: it counts once its owner has applied the assignment.

--- a/src/domain/placement/rollout.rs
+++ b/src/domain/placement/rollout.rs
@@ -1,7 +1,7 @@
 //! Rolling replacement of groups whose model or size belongs to an older version.
 //!
 //! New groups are formed from free VMs first, and old groups are released as new ones
-//! become ready. Without enough free VMs, some of the old groups are released early: a
+//! are ready and in use by their owners. Without enough free VMs, some of the old groups are released early: a
 //! quarter of the replicas, but at least one. So an upgrade needs no spare VMs, and with more
 //! than one replica it never removes all of them at the same time.
 
@@ -45,8 +45,10 @@
         if outdated.is_empty() {
             continue;
         }
-        let ready = current.iter().filter(|g| is_ready(context, g)).count();
-        let serving = ready + outdated.iter().filter(|g| is_ready(context, g)).count();
+        let all = current.iter().chain(&outdated);
+        let serving = all
+            .filter(|g| is_ready(context, g) && is_open(context, g))
+            .count();
         let can_form = supply.count(&demand.zone, demand.document) >= demand.document.members_per_replica;
         let all_formed = current.len() >= demand.replicas;
         let max_unavailable = if all_formed || can_form {
@@ -61,6 +63,15 @@
     allowed
 }
 
+/// Whether a group's owner has learnt that it owns the group, and so dispatches calls to it.
+fn is_open(context: &Context, group: &Group) -> bool {
+    let applied = group
+        .owner
+        .as_ref()
+        .map(|owner| context.sessions.applied_index(owner));
+    applied >= Some(group.owned_since)
+}
+
 /// Uses up one allowed release of `key`; false when there is none.
 pub(super) fn take_release<'a>(allowed: &mut BTreeMap<Key<'a>, usize>, key: &Key<'a>) -> bool {
     match allowed.get_mut(key) {
