fleet: a new leader knows which VMs drain

What callers saw: a VM of a service without groups says that it drains, and the leader that has acknowledged that ends. The next one lists the VM again for up to a heartbeat, by an earlier heartbeat that a relay passes on.

Cause: the log did not say that the VM drains, only that it is not listed.

Change: the record that unlists it names the heartbeat, and a new leader ignores earlier ones. The field is optional.

--- a/src/domain/fleet/digests.rs
+++ b/src/domain/fleet/digests.rs
@@ -165,10 +165,10 @@
         let member = group.and_then(|g| g.members.iter().find(|m| m.id == *id));
         let listed = self.state.listed.get(id);
         let in_group = member.map(|m| (m.incarnation, m.first_sequence.unwrap_or(0)));
+        let in_list = listed.map(|target| (target.incarnation, 0));
         let departed = self.departed_incarnation(id).map(|incarnation| (incarnation, 0));
-        let known = in_group
-            .max(listed.map(|target| (target.incarnation, 0)))
-            .max(departed);
+        let draining = self.state.draining.get(id).map(|(heartbeat, _)| *heartbeat);
+        let known = in_group.max(in_list).max(departed).max(draining);
         Some((announcement.incarnation, announcement.sequence)) < known
     }
 
--- a/src/domain/fleet/leave.rs
+++ b/src/domain/fleet/leave.rs
@@ -35,7 +35,12 @@
             return;
         }
         let left = Some(incarnation);
-        self.propose(now, Some(ticket), Command::Unlist { id, left }, out);
+        let command = Command::Unlist {
+            id,
+            left,
+            draining: None,
+        };
+        self.propose(now, Some(ticket), command, out);
     }
 
     /// Latest known incarnation of a VM.
--- a/src/domain/fleet/reconciliation.rs
+++ b/src/domain/fleet/reconciliation.rs
@@ -69,6 +69,9 @@
                     commands.push(Command::Unlist {
                         id: announcement.id.clone(),
                         left: None,
+                        draining: announcement
+                            .draining
+                            .then_some((announcement.incarnation, announcement.sequence)),
                     });
                 }
                 continue;
@@ -98,6 +101,7 @@
             commands.extend(unknown.map(|id| Command::Unlist {
                 id: id.clone(),
                 left: None,
+                draining: None,
             }));
         }
         for command in commands {
--- a/src/domain/fleet/state.rs
+++ b/src/domain/fleet/state.rs
@@ -13,7 +13,7 @@
 
 /// Prompt parts in quarantine; the oldest is released for a further one.
 const MAX_QUARANTINED: usize = 64;
-/// VMs that have shut down; the oldest is forgotten for a further one.
+/// VMs that have shut down, and VMs that drain; the oldest is forgotten for a further one.
 const MAX_DEPARTED: usize = 1_024;
 
 /// One version of the catalog, as the operator's text and as JSON.
@@ -125,6 +125,10 @@
         /// Incarnation, if the VM has shut down; it may be of any service then. Earlier versions ignore it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         left: Option<u64>,
+        /// Incarnation and number of the heartbeat by which the VM has said that it drains, if it has. Earlier versions
+        /// ignore it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        draining: Option<(u64, u64)>,
     },
     /// Dissolve a group whose head accepts no more requests.
     Dissolve {
@@ -180,6 +184,10 @@
     /// have none.
     #[serde(default)]
     pub departed: BTreeMap<String, (u64, u64)>,
+    /// Incarnation and number of the first heartbeat of VMs that drain, with the log index of the record; earlier
+    /// versions' snapshots have none.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub draining: BTreeMap<String, ((u64, u64), u64)>,
     /// Epoch of the group of each member, by VM; rebuilt after a restore instead of stored.
     #[serde(skip)]
     epochs_by_vm: HashMap<String, u64>,
@@ -239,12 +247,16 @@
             }
             Command::List(target) => {
                 self.departed.remove(&target.id);
+                self.draining.remove(&target.id);
                 self.listed.insert(target.id.clone(), (**target).clone());
             }
-            Command::Unlist { id, left } => {
+            Command::Unlist { id, left, draining } => {
                 self.listed.remove(id);
                 if let Some(incarnation) = left {
-                    self.record_departure(index, id, *incarnation);
+                    insert_bounded(&mut self.departed, id, (*incarnation, index));
+                }
+                if let Some(heartbeat) = draining {
+                    insert_bounded(&mut self.draining, id, (*heartbeat, index));
                 }
             }
             Command::Dissolve { epoch } => {
@@ -280,16 +292,6 @@
         self.catalog = decoded.map(|d| d.expect("a controller checked the document before it was logged"));
     }
 
-    fn record_departure(&mut self, index: u64, id: &str, incarnation: u64) {
-        self.departed.insert(id.to_owned(), (incarnation, index));
-        if self.departed.len() > MAX_DEPARTED {
-            let oldest = self.departed.iter().min_by_key(|(_, (_, index))| *index);
-            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
-                self.departed.remove(&oldest);
-            }
-        }
-    }
-
     fn quarantine(&mut self, index: u64, part: &str) {
         self.quarantined.entry(part.to_owned()).or_insert(index);
         if self.quarantined.len() > MAX_QUARANTINED {
@@ -326,3 +328,14 @@
         assert_eq!(members, self.epochs_by_vm.len(), "a VM belongs to two groups");
     }
 }
+
+/// Records something of a VM with its log index; the oldest record is forgotten for one beyond the limit.
+fn insert_bounded<T>(records: &mut BTreeMap<String, (T, u64)>, id: &str, record: (T, u64)) {
+    records.insert(id.to_owned(), record);
+    if records.len() > MAX_DEPARTED {
+        let oldest = records.iter().min_by_key(|(_, (_, index))| *index);
+        if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+            records.remove(&oldest);
+        }
+    }
+}
--- a/tests/leaves.rs
+++ b/tests/leaves.rs
@@ -102,6 +102,37 @@
     }
 }
 
+/// Guards against a VM that has said that it drains, and is named as a target again by the next leader, which hears an
+/// earlier heartbeat of it first.
+#[test]
+fn a_vm_that_drains_is_no_target_of_the_next_leader() {
+    for delay_ms in (0..1_000).step_by(100) {
+        let (mut fleet, relay) = fleet_with_target();
+        let leader = fleet.leader().expect("a leader");
+        fleet.advance_by(delay_ms);
+        fleet.announce(relay, announcement(5, 2));
+        fleet.advance_by(40);
+        let draining = Announcement {
+            draining: true,
+            ..announcement(5, 3)
+        };
+        let call = Call::Announce(Box::new(draining));
+        let ticket = LEAVE_TICKET;
+        fleet.step(leader, Event::Call { ticket, call });
+        fleet.advance_until(|fleet| fleet.done.contains(&LEAVE_TICKET));
+        assert!(!is_target(&fleet));
+        fleet.is_up[leader] = false;
+        let until = fleet.now + 16_000;
+        while fleet.now < until {
+            fleet.advance();
+            assert!(!is_target(&fleet), "at {} ms, delay {delay_ms}", fleet.now);
+        }
+        // A later start of the same VM is a target again.
+        fleet.announce(relay, announcement(6, 1));
+        fleet.advance_until(is_target);
+    }
+}
+
 /// A leader that does not know the VM yet cannot keep it from being named again, so it does not acknowledge.
 #[test]
 fn the_departure_of_a_vm_that_a_new_leader_does_not_know_yet_is_not_acknowledged() {
@@ -167,6 +198,7 @@
         let command = Command::Unlist {
             id: format!("i-{index:010x}"),
             left: Some(1_700_000_000_000 + index),
+            draining: None,
         };
         state.apply(index, &command);
     }
