--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -121,16 +121,21 @@
     assert_bounded(242, "/stream/1", without_end(FIRST_CHUNK, &text("0"))).await;
 }
 
-/// The same from a caller.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_request_with_a_chunk_size_without_end_is_given_up() {
+/// Server that collects the body of each request, and answers with its length.
+async fn collecting_server() -> SocketAddr {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     let answer_with_length = |request: http::Request<_>| async {
         let body = http1::collect(request.into_body(), MAX_BYTES_READ).await;
-        http::Response::new(http1::Body::whole(format!("{body:?}")))
+        http::Response::new(http1::Body::whole(format!("{:?}", body.map(|b| b.len()))))
     };
-    let server = http1::serve(address, 64 << 10, Duration::from_secs(1), answer_with_length).await;
-    let mut stream = TcpStream::connect(server.unwrap().address).await.unwrap();
+    let server = http1::serve(address, 8 << 10, Duration::from_secs(30), answer_with_length).await;
+    server.unwrap().address
+}
+
+/// The same from a caller.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_with_a_chunk_size_without_end_is_given_up() {
+    let mut stream = TcpStream::connect(collecting_server().await).await.unwrap();
     let head = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
     stream.write_all(head.as_bytes()).await.unwrap();
     let text = "0".repeat(8_192);
@@ -145,13 +150,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_body_of_many_small_chunks_is_read_to_its_end() {
     const CHUNKS: usize = 1 << 20;
-    let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let answer_with_length = |request: http::Request<_>| async {
-        let body = http1::collect(request.into_body(), MAX_BYTES_READ).await;
-        http::Response::new(http1::Body::whole(format!("{:?}", body.map(|b| b.len()))))
-    };
-    let server = http1::serve(address, 8 << 10, Duration::from_secs(30), answer_with_length).await;
-    let mut stream = TcpStream::connect(server.unwrap().address).await.unwrap();
+    let mut stream = TcpStream::connect(collecting_server().await).await.unwrap();
     let head = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n";
     let request = format!("{head}{}0\r\n\r\n", "1\r\nx\r\n".repeat(CHUNKS));
     stream.write_all(request.as_bytes()).await.unwrap();
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -112,10 +112,6 @@
     let started = Instant::now();
     while started.elapsed() < Duration::from_secs(2) {
         queue.write_all(LINE.as_bytes()).unwrap();
-        // Slower than the thread that gathers lines, and faster than its pauses.
-        if started.elapsed().as_micros().is_multiple_of(64) {
-            std::thread::yield_now();
-        }
     }
     let longest = longest.load(Ordering::Relaxed);
     assert!(longest > 0, "nothing was written");
