cli: zone out needs no entry

Change: only 'env wait' needs an entry.

Evidence: the test without entries also takes a zone out; that failed before and passes. tests/cli.rs passes.

--- a/src/cli/environment.rs
+++ b/src/cli/environment.rs
@@ -122,7 +122,8 @@
         "diff" => print_diff(configuration, number("from"), number("to"))?,
         "wait" => {
             let index = configuration.changed;
-            wait::until_in_force(client, index, number("seconds").unwrap_or(6)).await?;
+            // A document is in force nowhere while no entry has joined.
+            wait::until_in_force(client, index, true, number("seconds").unwrap_or(6)).await?;
         }
         _ => return Err(Error::Input("no such command".to_owned())),
     }
--- a/src/cli/zone.rs
+++ b/src/cli/zone.rs
@@ -43,5 +43,6 @@
     if json {
         println!("{}", serde_json::json!({"version": version, "index": index}));
     }
-    wait::until_in_force(client, index, WAIT_SECONDS).await
+    // Without an entry, nobody sends requests to the zone.
+    wait::until_in_force(client, index, false, WAIT_SECONDS).await
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -92,6 +92,8 @@
     let output = run(&cluster, &["env", "wait", "notes", "--seconds", "1"]);
     assert!(!output.status.success(), "{}", text(&output));
     assert!(text(&output).contains("no entry has joined"), "{}", text(&output));
+    // Nobody sends requests to a zone while no entry has joined.
+    run_successfully(&cluster, &["zone", "out", "north"]);
 }
 
 /// Asserts the exit code and a part of the message of commands that must fail.
